--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PYTHON ?= python3
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: test lint demo bench soak clean
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[test]'
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check --quiet berylrock features
+	$(VENV)/bin/ruff check --quiet berylrock features
+	$(VENV)/bin/mypy
+
+test: lint
+	$(VENV)/bin/python -m berylrock.scripts.suite
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m berylrock.scripts.demo
+
+clean:
+	rm -rf $(VENV) .run
--- /dev/null
+++ b/berylrock/core/__init__.py
@@ -0,0 +1,1 @@
+"""Data types that every layer shares."""
--- /dev/null
+++ b/berylrock/core/metrics.py
@@ -0,0 +1,48 @@
+"""Names every metric and sends it by statsd."""
+
+import statsd
+
+__all__ = ["Metrics"]
+
+PREFIX = "berylrock"
+
+
+class Metrics:
+    """Counters and timings of one process, also kept in memory for ``status``."""
+
+    REQUESTS = "requests"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "outcome_unknown"
+    RETRIES = "retries"
+    RESUMES = "resumes"
+    REATTACHED = "reattached"
+    LATE_FRAMES = "late_frames_dropped"
+    LINKS_LOST = "links_lost"
+    ENGINE_FELL = "engine_fell"
+    REFUSED = "refused"
+    STORE_CALLS = "store_calls"
+    STORE_ERRORS = "store_errors"
+    BILLS_STORED = "bills_stored"
+    FIRST_TOKEN = "first_token"
+    CALL = "call"
+
+    def __init__(self, target: str, process: str) -> None:
+        """Send to ``host:port``; an empty target sends nothing."""
+        self.counts: dict[str, int] = {}
+        self._client: statsd.StatsClient | None = None
+        if target:
+            host, _, port = target.rpartition(":")
+            prefix = f"{PREFIX}.{process.replace('.', '-')}"
+            self._client = statsd.StatsClient(host, int(port), prefix=prefix)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] = self.counts.get(name, 0) + amount
+        if self._client is not None:
+            self._client.incr(name, amount)
+
+    def time(self, name: str, seconds: float) -> None:
+        """Record a duration."""
+        if self._client is not None:
+            self._client.timing(name, seconds * 1000.0)
--- /dev/null
+++ b/berylrock/daemons/entry/callers.py
@@ -0,0 +1,269 @@
+"""Answers callers over HTTP: chat completions, and calls of plain services."""
+
+import time
+from collections.abc import AsyncGenerator, Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from berylrock.core import data, metrics
+from berylrock.daemons.entry import calls, context, models, outcome, request
+from berylrock.ops import budget
+
+__all__ = ["Callers"]
+
+HEARTBEAT_SECONDS = 5.0
+WRITE_BUFFER_BYTES = 16_384
+SUBMIT_TEXT_CHARS = 2000
+CLOSED_BY_CALLER = 499
+
+Serve = Callable[[web.Request, data.Document, request.Caller, bytes], Awaitable[web.StreamResponse]]
+
+
+class Callers:
+    """The handlers of callers' requests.
+
+    Attributes:
+      active: Requests under way.
+      stopping: Whether new requests are refused.
+    """
+
+    def __init__(self, ctx: context.Context, submit: Callable[[str, str, str, str], None]) -> None:
+        """Hand answers to ``submit(request_id, version, kind, text)`` to be rated."""
+        self._ctx = ctx
+        self._submit = submit
+        self._quotas: dict[str, budget.TokenBucket] = {}
+        self.calls = calls.CallRunner(ctx)
+        self.active = 0
+        self.stopping = False
+
+    def build(self) -> web.Application:
+        """Make the HTTP application."""
+        app = web.Application(client_max_size=self._ctx.cfg.max_body_bytes)
+        app.router.add_post("/v1/chat/completions", self._serve_with(self._chat))
+        app.router.add_route("*", "/services/{service}/{path:.*}", self._serve_with(self._call))
+        return app
+
+    def _serve_with(self, serve: Serve) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        async def handle(req: web.Request) -> web.StreamResponse:
+            self.active += 1
+            try:
+                return await self._handle(req, serve)
+            finally:
+                self.active -= 1
+
+        return handle
+
+    async def _handle(self, req: web.Request, serve: Serve) -> web.StreamResponse:
+        meter, log = self._ctx.kernel.meter, self._ctx.kernel.log
+        meter.count(metrics.Metrics.REQUESTS)
+        self._ctx.budget.note_request()
+        request_id = ""
+        try:
+            doc = self._ctx.kernel.config.doc
+            if doc is None:
+                detail = "no document is in force here yet; try another entry VM"
+                raise outcome.NotRun(503, "no_config", detail)
+            caller = request.read_caller(req, doc, self._ctx.cfg)
+            request_id = caller.request_id
+            self._check_quota(caller)
+            body = await self._read_body(req)
+            response = await serve(req, doc, caller, body)
+            meter.count(metrics.Metrics.ANSWERED)
+            return response
+        except outcome.Ended as exc:
+            name = metrics.Metrics.NOT_RUN
+            if exc.outcome == outcome.UNKNOWN:
+                name = metrics.Metrics.UNKNOWN
+            meter.count(name)
+            log.write(
+                "request_refused",
+                request=request_id,
+                outcome=exc.outcome,
+                reason=exc.reason,
+                detail=exc.detail,
+                address=req.remote,
+            )
+            return outcome.respond(exc, request_id)
+
+    async def _read_body(self, req: web.Request) -> bytes:
+        try:
+            return await req.read()
+        except web.HTTPRequestEntityTooLarge as exc:
+            limit = self._ctx.cfg.max_body_bytes
+            detail = f"body is over {limit} bytes; send less"
+            raise outcome.NotRun(413, "too_large", detail) from exc
+
+    def _check_quota(self, caller: request.Caller) -> None:
+        rate = caller.organisation.requests_per_second
+        if not rate:
+            return
+        now = self._ctx.kernel.timer.now()
+        bucket = self._quotas.setdefault(caller.organisation.name, budget.TokenBucket(now))
+        if not bucket.take(rate / self._ctx.peers.entry_count(), now):
+            detail = f"the quota of {rate:g} requests a second is spent; send more slowly"
+            raise outcome.NotRun(429, "quota", detail)
+
+    async def _call(
+        self, req: web.Request, doc: data.Document, caller: request.Caller, body: bytes
+    ) -> web.StreamResponse:
+        parsed = request.read_call(req, body, caller, doc)
+        began = time.monotonic()
+        answer = await self.calls.run(parsed)
+        self._ctx.kernel.meter.time(metrics.Metrics.CALL, time.monotonic() - began)
+        self._ctx.kernel.log.write(
+            "request_answered",
+            request=caller.request_id,
+            organisation=caller.organisation.name,
+            target=parsed.service.name,
+            status=answer.status,
+            replayed=answer.replayed,
+            seconds=round(time.monotonic() - began, 4),
+        )
+        response = web.Response(status=answer.status, body=answer.body)
+        response.headers.popall("Content-Type", None)
+        for line in answer.headers:
+            name, _, value = line.partition(": ")
+            response.headers.add(name, value)
+        response.headers[outcome.HEADER] = outcome.DONE
+        response.headers["X-Request-Id"] = caller.request_id
+        if answer.replayed:
+            response.headers["Idempotency-Replayed"] = "true"
+        return response
+
+    async def _chat(
+        self, req: web.Request, doc: data.Document, caller: request.Caller, body: bytes
+    ) -> web.StreamResponse:
+        parsed = request.read_model(req, body, caller)
+        run = models.ModelRun(self._ctx, parsed)
+        began = time.monotonic()
+        try:
+            if parsed.stream:
+                return await self._stream(req, parsed, run, began)
+            return await self._whole(parsed, run, began)
+        finally:
+            run.close()
+
+    def _deadline(self, parsed: request.ModelRequest) -> float:
+        return self._ctx.kernel.timer.now() + parsed.caller.timeout_seconds
+
+    def _headers(self, parsed: request.ModelRequest, run: models.ModelRun) -> dict[str, str]:
+        assert run.selected is not None
+        headers = {
+            outcome.HEADER: outcome.DONE,
+            "X-Request-Id": parsed.caller.request_id,
+            "X-Berylrock-Version": str(run.selected.version_id),
+        }
+        if run.selected.token:
+            headers["X-Session"] = run.selected.token
+        if run.selected.changed_from:
+            headers["X-Berylrock-Version-Changed-From"] = run.selected.changed_from
+        return headers
+
+    async def _whole(
+        self, parsed: request.ModelRequest, run: models.ModelRun, began: float
+    ) -> web.StreamResponse:
+        pieces = [piece async for piece in run.pieces(self._deadline(parsed))]
+        choices = models.add_pieces(pieces)
+        self._note_answer(parsed, run, began, pieces)
+        body = {
+            "id": parsed.caller.request_id,
+            "object": "chat.completion",
+            "model": str(run.selected.version_id) if run.selected else "",
+            "choices": choices,
+            "usage": _usage(run),
+        }
+        return web.Response(
+            body=msgspec.json.encode(body),
+            content_type="application/json",
+            headers=self._headers(parsed, run),
+        )
+
+    async def _stream(
+        self, req: web.Request, parsed: request.ModelRequest, run: models.ModelRun, began: float
+    ) -> web.StreamResponse:
+        pieces = run.pieces(self._deadline(parsed))
+        response = web.StreamResponse()
+        try:
+            first = await anext(pieces, None)
+            response.headers.update(self._headers(parsed, run))
+            response.content_type = "text/event-stream"
+            await response.prepare(req)
+            if req.transport is not None:
+                req.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            self._ctx.kernel.meter.time(metrics.Metrics.FIRST_TOKEN, time.monotonic() - began)
+            await self._send_pieces(response, parsed, run, first, pieces, began)
+        except ConnectionError as exc:
+            # The caller went away; the run is stopped where it is.
+            self._ctx.kernel.log.write(
+                "caller_left", request=parsed.caller.request_id, detail=str(exc)
+            )
+        finally:
+            await pieces.aclose()
+        return response
+
+    async def _send_pieces(
+        self,
+        response: web.StreamResponse,
+        parsed: request.ModelRequest,
+        run: models.ModelRun,
+        first: bytes | None,
+        pieces: AsyncGenerator[bytes],
+        began: float,
+    ) -> None:
+        assert run.selected is not None
+        request_id = parsed.caller.request_id
+        head = msgspec.json.encode(
+            {"id": request_id, "object": "chat.completion.chunk", "model": str(run.selected[0])}
+        )
+        prefix = b"data: " + head[:-1] + b',"choices":'
+        sent: list[bytes] = []
+        piece = first
+        try:
+            while piece is not None:
+                await response.write(b"".join((prefix, piece, b"}\n\n")))
+                if len(sent) < SUBMIT_TEXT_CHARS:
+                    sent.append(piece)
+                piece = await anext(pieces, None)
+        except outcome.Ended as exc:
+            # The status line has gone out, so the error goes into the stream, without an end mark.
+            self._ctx.kernel.log.write(
+                "answer_cut", request=request_id, reason=exc.reason, detail=exc.detail
+            )
+            await response.write(
+                b"event: error\ndata: " + outcome.encode_error(exc, request_id) + b"\n\n"
+            )
+            return
+        usage = msgspec.json.encode(_usage(run))
+        await response.write(b"".join((prefix, b'[],"usage":', usage, b"}\n\ndata: [DONE]\n\n")))
+        await response.write_eof()
+        self._note_answer(parsed, run, began, sent)
+
+    def _note_answer(
+        self, parsed: request.ModelRequest, run: models.ModelRun, began: float, pieces: list[bytes]
+    ) -> None:
+        assert run.selected is not None
+        caller = parsed.caller
+        self._ctx.kernel.log.write(
+            "request_answered",
+            request=caller.request_id,
+            organisation=caller.organisation.name,
+            target=str(run.selected.version_id),
+            kind=parsed.kind,
+            tokens=run.usage.tokens,
+            seconds=round(time.monotonic() - began, 4),
+        )
+        text = ""
+        for choice in models.add_pieces(pieces):
+            text += choice["message"].get("content") or ""
+        version = str(run.selected.version_id)
+        self._submit(caller.request_id, version, parsed.kind, text[:SUBMIT_TEXT_CHARS])
+
+
+def _usage(run: models.ModelRun) -> dict[str, int]:
+    prompt, tokens = run.usage.prompt_tokens, run.usage.tokens
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": tokens,
+        "total_tokens": prompt + tokens,
+    }
--- /dev/null
+++ b/berylrock/daemons/entry/calls.py
@@ -0,0 +1,266 @@
+"""Passes calls on to plain services: repeatable ones with retries, the others at most once."""
+
+import asyncio
+import secrets
+import time
+from typing import NamedTuple
+
+from berylrock.core import errors, message, metrics
+from berylrock.daemons.entry import attempts, context, models, outcome, placement, request
+from berylrock.ops import claims
+
+__all__ = ["Answer", "CallRunner"]
+
+TOKEN_BYTES = 12
+FOLLOW_PAUSE_SECONDS = 0.2
+RECENT_SECONDS = 10.0
+
+
+class Answer(NamedTuple):
+    """A plain service's answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: Header lines.
+      body: The body.
+      replayed: Whether it is the stored answer of an earlier request with the same key.
+    """
+
+    status: int
+    headers: tuple[str, ...]
+    body: bytes
+    replayed: bool = False
+
+
+class CallRunner:
+    """Runs calls of plain services."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+        self._running: dict[str, asyncio.Task[Answer]] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Whether requests that run at most once are under way here."""
+        return bool(self._running) or self._ctx.claims.unsettled > 0
+
+    async def run(self, req: request.CallRequest) -> Answer:
+        """Run a call.
+
+        Args:
+          req: The call.
+
+        Returns:
+          The answer.
+
+        Raises:
+          NotRun: It ran nowhere.
+          Unknown: It may have run, and is not repeated.
+        """
+        deadline = asyncio.get_running_loop().time() + req.caller.timeout_seconds
+        if req.repeatable:
+            return await self._run_repeatable(req, deadline)
+        return await self._run_once(req, deadline)
+
+    def _start(self, req: request.CallRequest, claim: str = "") -> message.Start:
+        return message.Start(
+            request_id=req.caller.request_id,
+            organisation=req.caller.organisation.name,
+            target=req.service.name,
+            method=req.method,
+            path=req.path,
+            headers=req.headers,
+            body=req.body,
+            priority=req.caller.priority,
+            fingerprint=req.fingerprint,
+            repeatable=req.repeatable,
+            claim=claim,
+            billing_key=models.billing_key(req.caller, req.fingerprint),
+        )
+
+    async def _place(
+        self, start: message.Start, pool: str, deadline: float, avoid: set[str]
+    ) -> placement.Placed:
+        try:
+            return await self._ctx.placer.place(start, pool, deadline, avoid)
+        except placement.Reselect as exc:
+            raise outcome.NotRun(403, "not_allowed", "the service is no longer configured") from exc
+
+    async def _run_repeatable(self, req: request.CallRequest, deadline: float) -> Answer:
+        avoid: set[str] = set()
+        passed_on = False
+        while True:
+            try:
+                placed = await self._place(self._start(req), req.service.pool, deadline, avoid)
+            except outcome.NotRun as exc:
+                if passed_on:
+                    raise outcome.Unknown(502, "no_answer", exc.detail) from exc
+                raise
+            passed_on = True
+            end, body = await _collect(placed)
+            if isinstance(end, message.End) and end.outcome == message.Outcome.DONE:
+                self._bill(placed.attempt.start)
+                placed.attempt.close()
+                return Answer(end.status, end.headers, body)
+            placed.attempt.close()
+            avoid.add(placed.peer.server.name)
+            self._check_retry(req, placed, end, deadline)
+
+    def _check_retry(
+        self,
+        req: request.CallRequest,
+        placed: placement.Placed,
+        end: attempts.Frame,
+        deadline: float,
+    ) -> None:
+        ctx = self._ctx
+        detail = getattr(end, "detail", "")
+        ctx.kernel.log.write(
+            "attempt_failed",
+            request=req.caller.request_id,
+            attempt=placed.attempt.start.attempt,
+            server=placed.peer.server.name,
+            detail=detail,
+        )
+        late = asyncio.get_running_loop().time() >= deadline
+        if late or ctx.kernel.strikes.is_refused(req.fingerprint) or not ctx.budget.take():
+            raise outcome.Unknown(502, "no_answer", f"{detail}; it may be sent again")
+        ctx.kernel.meter.count(metrics.Metrics.RETRIES)
+
+    def _bill(self, start: message.Start) -> None:
+        bill = message.Bill(
+            start.billing_key, start.request_id, start.attempt, start.organisation, start.target
+        )
+        self._ctx.ledger.add(bill)
+
+    async def _run_once(self, req: request.CallRequest, deadline: float) -> Answer:
+        key = req.caller.key or f"request:{req.caller.request_id}"
+        name = claims.name_claim(req.caller.organisation.name, key)
+        task = self._running.get(name) or await self._claim(req, name, deadline)
+        if isinstance(task, claims.Held):
+            return await self._follow(req, name, task.claim, deadline)
+        # The run goes on when the caller goes away: it may have taken effect.
+        loop = asyncio.get_running_loop()
+        done, _ = await asyncio.wait([task], timeout=max(0.0, deadline - loop.time()))
+        if not done:
+            raise outcome.Unknown(
+                504, "deadline_passed", "it may still run; ask again with the same Idempotency-Key"
+            )
+        return task.result()
+
+    async def _claim(
+        self, req: request.CallRequest, name: str, deadline: float
+    ) -> asyncio.Task[Answer] | claims.Held:
+        """Take the claim and start the run, or find who else has it."""
+        now = time.time()
+        wanted = claims.Claim(
+            secrets.token_hex(TOKEN_BYTES),
+            "claimed",
+            req.caller.request_id,
+            req.fingerprint,
+            deadline=now + req.caller.timeout_seconds,
+            expires=now + claims.KEPT_SECONDS,
+        )
+        try:
+            held = await self._ctx.claims.take(name, wanted)
+        except errors.StoreUnavailable as exc:
+            detail = f"the claim cannot be stored, so it was not run; try again: {exc}"
+            raise outcome.NotRun(503, "store_unavailable", detail) from exc
+        if not held.mine:
+            return held
+        task = asyncio.ensure_future(self._execute(req, name, held.claim, deadline))
+        self._running[name] = task
+        task.add_done_callback(lambda _task: self._ended(name, _task))
+        return task
+
+    def _ended(self, name: str, task: asyncio.Task[Answer]) -> None:
+        self._running.pop(name, None)
+        if not task.cancelled():
+            # Read the result, so that one that nobody waits for is not reported as an error.
+            task.exception()
+
+    async def _execute(
+        self, req: request.CallRequest, name: str, claim: claims.Claim, deadline: float
+    ) -> Answer:
+        ctx = self._ctx
+        start = self._start(req, f"{name}:{claim.token}")
+        try:
+            placed = await self._place(start, req.service.pool, deadline, set())
+        except outcome.NotRun:
+            await ctx.claims.settle(name, claim, claims.claim_as(claim, "released"))
+            raise
+        end, body = await _collect(placed)
+        if isinstance(end, message.End) and end.outcome == message.Outcome.DONE:
+            self._bill(placed.attempt.start)
+            final = claims.finish_claim(claim, end.status, end.headers, body)
+            await ctx.claims.settle(name, claim, final)
+            placed.attempt.close()
+            return Answer(end.status, end.headers, body)
+        detail = getattr(end, "detail", "")
+        ctx.kernel.meter.count(metrics.Metrics.UNKNOWN)
+        if isinstance(end, message.End):
+            # A lost path leaves the claim as it is: the sidecar may still hand the answer over.
+            await ctx.claims.settle(name, claim, claims.claim_as(claim, "unknown"))
+        raise outcome.Unknown(
+            502, "outcome_unknown", f"{detail}; check at the service, not repeated"
+        )
+
+    async def _follow(
+        self, req: request.CallRequest, name: str, claim: claims.Claim, deadline: float
+    ) -> Answer:
+        """Answer from a claim that another request with the same key has."""
+        loop = asyncio.get_running_loop()
+        while True:
+            if claim.fingerprint != req.fingerprint:
+                detail = "this Idempotency-Key was used for another request; use a new one"
+                raise outcome.NotRun(422, "key_reused", detail)
+            if claim.state == "done" and not claim.truncated:
+                return Answer(claim.status, claim.headers, claim.body, replayed=True)
+            if claim.state == "done":
+                detail = "it ran and was answered; the answer was too large to keep"
+                raise outcome.Unknown(502, "answer_not_kept", detail)
+            if claim.state == "released":
+                detail = "it was not run; send it again"
+                raise outcome.NotRun(503, "not_run", detail)
+            expired = time.time() > claim.deadline + RECENT_SECONDS
+            if claim.state == "unknown" or expired or loop.time() >= deadline:
+                detail = "an earlier request with this key may have run; check at the service"
+                raise outcome.Unknown(502, "outcome_unknown", detail)
+            await asyncio.sleep(FOLLOW_PAUSE_SECONDS)
+            try:
+                claim = await self._ctx.claims.read(name)
+            except errors.NotFound:
+                raise outcome.NotRun(503, "not_run", "its claim expired; send it again") from None
+            except errors.StoreUnavailable:
+                continue
+
+    async def take_left(self, msg: message.OutcomeLeft) -> bool:
+        """Store the answer of a call whose entry process went away.
+
+        Returns:
+          Whether it is stored, so that the sidecar may forget it.
+        """
+        name, _, token = msg.claim.partition(":")
+        try:
+            claim = await self._ctx.claims.read(name)
+        except errors.NotFound:
+            return True
+        except errors.StoreUnavailable:
+            return False
+        if claim.token != token or claim.state == "done":
+            return True
+        final = claims.finish_claim(claim, msg.status, msg.headers, msg.body)
+        await self._ctx.claims.settle(name, claim, final)
+        self._ctx.kernel.log.write("outcome_taken_over", request=claim.request_id)
+        return True
+
+
+async def _collect(placed: placement.Placed) -> tuple[attempts.Frame, bytes]:
+    """Wait for the end of an attempt and join its pieces."""
+    body: list[bytes] = []
+    frame = placed.first
+    while isinstance(frame, message.Chunk):
+        body.append(frame.data)
+        placed.attempt.consumed(frame)
+        frame = await placed.attempt.next_frame()
+    return frame, b"".join(body)
--- /dev/null
+++ b/berylrock/daemons/entry/controller.py
@@ -0,0 +1,140 @@
+"""Advances roll-outs and has versions loaded, in the one entry process that holds the lease.
+
+All progress is stored, so the next holder carries on or rolls back from there. Without the object
+API nothing advances and requests are served as before.
+"""
+
+import secrets
+import time
+
+import msgspec
+
+from berylrock.core import data, message
+from berylrock.daemons.entry import context, peers
+from berylrock.ops import fleet, lease
+
+__all__ = ["TEND_SECONDS", "Controller"]
+
+TEND_SECONDS = 1.0
+ORDER_ID_BYTES = 8
+ORDER_TIMEOUT_SECONDS = 60.0
+
+
+class Controller:
+    """The duties of the lease's holder."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+        self._lease = lease.Lease(ctx.kernel.objects, lease.CONTROLLER, ctx.cfg.name)
+        self._was_held = False
+        self._orders: dict[str, tuple[str, str, float]] = {}
+
+    def describe(self) -> dict[str, object]:
+        """What ``status`` shows."""
+        return {"held": self._lease.is_held(), "fence": self._lease.fence}
+
+    async def tend(self) -> None:
+        """Take or renew the lease; if held, do the duties."""
+        held = await self._lease.tend()
+        if held != self._was_held:
+            self._was_held = held
+            name = "lease_taken" if held else "lease_lost"
+            self._ctx.kernel.log.write(name, fence=self._lease.fence)
+        doc = self._ctx.kernel.config.doc
+        if not held or doc is None:
+            return
+        await self._advance(doc)
+        self._order_loads(doc)
+
+    async def release(self) -> None:
+        """Give the lease back at a graceful shutdown."""
+        await self._lease.release()
+
+    async def _advance(self, doc: data.Document) -> None:
+        now = time.time()
+
+        def change(record: fleet.FleetRecord) -> fleet.FleetRecord:
+            progress = {}
+            for rollout in doc.rollouts:
+                name = f"{rollout.model}@{rollout.new}"
+                old = record.progress.get(name)
+                progress[name] = next_progress(rollout, old, name in record.bad, now)
+            known = {f"{model.name}@{item.name}" for model in doc.models for item in model.versions}
+            bad = {name: text for name, text in record.bad.items() if name in known}
+            return msgspec.structs.replace(record, progress=progress, bad=bad)
+
+        before = self._ctx.fleet.record.progress
+        await self._ctx.fleet.update(change)
+        for name, item in self._ctx.fleet.record.progress.items():
+            if name not in before or before[name].percent != item.percent:
+                self._ctx.kernel.log.write("rollout_step", version=name, percent=item.percent)
+
+    def _order_loads(self, doc: data.Document) -> None:
+        """Have each version in use loaded where the engines' pool lacks it."""
+        now = self._ctx.kernel.timer.now()
+        self._orders = {key: item for key, item in self._orders.items() if item[2] > now}
+        pending = {item[:2] for item in self._orders.values()}
+        for peer in self._ctx.peers.peers.values():
+            for target in find_missing(doc, peer):
+                if (peer.server.name, target) not in pending:
+                    self._order(peer, "load", target)
+                    break
+
+    def _order(self, peer: peers.Peer, verb: str, target: str) -> None:
+        if not self._lease.is_held():
+            return
+        order = message.Order(secrets.token_hex(ORDER_ID_BYTES), self._lease.fence, verb, target)
+        deadline = self._ctx.kernel.timer.now() + ORDER_TIMEOUT_SECONDS
+        self._orders[order.order_id] = (peer.server.name, target, deadline)
+        self._ctx.kernel.log.write(
+            "order_given", server=peer.server.name, verb=verb, target=target, fence=order.fence
+        )
+        peer.send(order)
+
+    def note_done(self, msg: message.OrderDone) -> None:
+        """Take the answer to an order."""
+        self._orders.pop(msg.order_id, None)
+        if not msg.accepted:
+            self._ctx.kernel.log.write("order_not_taken", detail=msg.detail)
+
+
+def next_progress(
+    rollout: data.Rollout, old: fleet.Progress | None, bad: bool, now: float
+) -> fleet.Progress:
+    """The next state of a roll-out.
+
+    Args:
+      rollout: The roll-out as the document has it.
+      old: Its stored progress, or None if it has just begun.
+      bad: Whether the new version was found bad.
+      now: Unix time.
+
+    Returns:
+      Its progress; 0 per cent if it goes back.
+    """
+    if bad or rollout.state == "aborted":
+        if old is not None and old.percent == 0.0:
+            return old
+        return fleet.Progress(0.0, now)
+    if old is None:
+        return fleet.Progress(min(rollout.step_percent, rollout.percent), now)
+    if rollout.state == "paused" or old.percent >= rollout.percent:
+        return old
+    if now - old.stepped < rollout.step_seconds:
+        return old
+    return fleet.Progress(min(old.percent + rollout.step_percent, rollout.percent), now)
+
+
+def find_missing(doc: data.Document, peer: peers.Peer) -> tuple[str, ...]:
+    """The versions that a server's pool serves and the server has not loaded."""
+    if not (peer.connected and peer.report.reachable) or peer.report.leaving:
+        return ()
+    wanted = [
+        f"{model.name}@{version.name}"
+        for model in doc.models
+        if model.pool == peer.server.pool
+        for version in model.versions
+    ]
+    return tuple(
+        item for item in wanted if item not in peer.report.loaded and item not in doc.withdrawals
+    )
--- /dev/null
+++ b/berylrock/daemons/entry/models.py
@@ -0,0 +1,292 @@
+"""Runs a request for a model to the whole answer, resuming it elsewhere when a server is lost."""
+
+import asyncio
+import hashlib
+from collections.abc import AsyncGenerator
+from typing import Any, NamedTuple
+
+import msgspec
+
+from berylrock.core import data, message, metrics
+from berylrock.daemons.entry import attempts, context, outcome, placement, request
+from berylrock.ops import choice, sessions
+
+__all__ = ["ModelRun", "Selected", "add_pieces", "billing_key"]
+
+SELECT_TRIES = 5
+
+
+class Selected(NamedTuple):
+    """The version chosen for a request.
+
+    Attributes:
+      version_id: The version.
+      pool: The pool that serves it.
+      token: The session token to return, or an empty text.
+      changed_from: The session's version before, if that can no longer be used.
+    """
+
+    version_id: data.VersionId
+    pool: str
+    token: str
+    changed_from: str
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+
+
+_decode_choices = msgspec.json.Decoder(list[_Choice]).decode
+
+
+def billing_key(caller: request.Caller, fingerprint: str, step: int = 0) -> str:
+    """The key under which one step of a request is billed once."""
+    name = caller.key or caller.request_id
+    text = "\0".join((caller.organisation.name, name, fingerprint, str(step)))
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+class ModelRun:
+    """One request for a model.
+
+    Attributes:
+      selected: The version that answers, once the first piece has come.
+      usage: The end mark of the answer.
+      passed_on: Whether any attempt may have reached an engine.
+    """
+
+    def __init__(self, ctx: context.Context, req: request.ModelRequest) -> None:
+        self._ctx = ctx
+        self._req = req
+        self._text: list[str] = []
+        self._pieces = 0
+        self._avoid: set[str] = set()
+        self._changed_from = ""
+        self._attempt: attempts.Attempt | None = None
+        self.selected: Selected | None = None
+        self.usage = message.End()
+        self.passed_on = False
+
+    async def select(self) -> Selected:
+        """Choose the version.
+
+        Raises:
+          NotRun: No version may be used.
+        """
+        ctx, req = self._ctx, self._req
+        doc = ctx.kernel.config.doc
+        assert doc is not None
+        owner = _current(doc, req.caller.organisation)
+        secret = ctx.cfg.secret
+        session, pinned = sessions.read_token(secret, owner.name, req.session)
+        stable_name = session or req.caller.request_id
+        candidates = choice.find_candidates(
+            doc, owner, req.asked, req.kind, stable_name, ctx.fleet.view()
+        )
+        if pinned is not None and choice.is_usable(doc, owner, pinned):
+            return self._choose(doc, pinned, session)
+        ranked = ctx.policy(candidates, choice.find_wish(owner, req.kind))
+        if not ranked:
+            remedy = f"organisation {owner.name} may use no version for {req.asked!r} now"
+            raise outcome.NotRun(403, "no_version", f"{remedy}; ask for another or the operators")
+        version_id = ranked[0].version_id
+        if pinned is not None:
+            self._changed_from = str(pinned)
+        elif session:
+            version_id = await ctx.sessions.pin(
+                owner.name, session, version_id, lambda item: choice.is_usable(doc, owner, item)
+            )
+        return self._choose(doc, version_id, session)
+
+    def _choose(self, doc: data.Document, version_id: data.VersionId, session: str) -> Selected:
+        token = ""
+        if session:
+            owner = self._req.caller.organisation.name
+            token = sessions.sign_token(self._ctx.cfg.secret, owner, session, version_id)
+        pool = placement.find_pool(doc, version_id)
+        return Selected(version_id, pool, token, self._changed_from)
+
+    async def pieces(self, deadline: float) -> AsyncGenerator[bytes]:
+        """Yield the pieces of the answer; returns at its end mark.
+
+        Args:
+          deadline: Event-loop time until which the caller waits.
+
+        Raises:
+          NotRun: The request ran nowhere.
+          Unknown: It ran, and its answer cannot be had whole.
+        """
+        while True:
+            placed = await self._place(deadline)
+            self._attempt = placed.attempt
+            frame = placed.first
+            while isinstance(frame, message.Chunk):
+                self.passed_on = True
+                self._remember(frame.data)
+                yield frame.data
+                placed.attempt.consumed(frame)
+                frame = await placed.attempt.next_frame()
+            self._attempt = None
+            if self._finish(frame, placed):
+                return
+            self._plan_retry(frame, placed, deadline)
+
+    async def _place(self, deadline: float) -> placement.Placed:
+        for _ in range(SELECT_TRIES):
+            if self.selected is None or not self._pieces:
+                self.selected = await self.select()
+            try:
+                self._check_resumable()
+                return await self._ctx.placer.place(
+                    self._start(), self.selected.pool, deadline, self._avoid
+                )
+            except placement.Reselect:
+                if self._pieces:
+                    raise self._cut(
+                        "its version was withdrawn before it could be resumed"
+                    ) from None
+            except outcome.NotRun as exc:
+                if self.passed_on:
+                    raise self._cut(exc.detail) from exc
+                raise
+        raise outcome.NotRun(503, "no_version", "versions are being withdrawn; try again")
+
+    def _check_resumable(self) -> None:
+        doc = self._ctx.kernel.config.doc
+        assert doc is not None and self.selected is not None
+        owner = _current(doc, self._req.caller.organisation)
+        if not choice.is_usable(doc, owner, self.selected.version_id):
+            raise placement.Reselect
+
+    def _start(self) -> message.Start:
+        req = self._req
+        assert self.selected is not None
+        return message.Start(
+            request_id=req.caller.request_id,
+            organisation=req.caller.organisation.name,
+            target=str(self.selected.version_id),
+            body=req.body,
+            tokens=req.tokens,
+            priority=req.caller.priority,
+            fingerprint=req.fingerprint,
+            billing_key=billing_key(req.caller, req.fingerprint),
+            resume_tokens=self._pieces,
+            resume_text="".join(self._text),
+        )
+
+    def _remember(self, choices: bytes) -> None:
+        self._pieces += 1
+        for item in _decode_choices(choices):
+            if item.delta.content:
+                self._text.append(item.delta.content)
+
+    def _finish(self, frame: attempts.Frame, placed: placement.Placed) -> bool:
+        if not isinstance(frame, message.End):
+            return False
+        health = self._ctx.verdicts.find(placed.attempt.start.target)
+        if frame.outcome == message.Outcome.DONE:
+            health.note_result(failed=False)
+            self.usage = frame
+            self._bill(placed.attempt.start, frame.prompt_tokens, frame.tokens)
+            placed.attempt.close()
+            return True
+        if frame.outcome == message.Outcome.ERROR:
+            health.note_result(failed=True)
+        placed.attempt.close()
+        return False
+
+    def _bill(self, start: message.Start, prompt_tokens: int, tokens: int) -> None:
+        bill = message.Bill(
+            start.billing_key,
+            start.request_id,
+            start.attempt,
+            start.organisation,
+            start.target,
+            prompt_tokens,
+            tokens,
+        )
+        self._ctx.ledger.add(bill)
+
+    def _plan_retry(self, frame: attempts.Frame, placed: placement.Placed, deadline: float) -> None:
+        """Decide whether to try elsewhere; raises if not."""
+        self.passed_on = True
+        start = placed.attempt.start
+        detail = frame.detail if isinstance(frame, message.End | attempts.Lost) else ""
+        kind = frame.outcome if isinstance(frame, message.End) else "lost"
+        log = self._ctx.kernel.log
+        log.write(
+            "attempt_failed",
+            request=start.request_id,
+            attempt=start.attempt,
+            server=placed.peer.server.name,
+            outcome=kind,
+            detail=detail,
+        )
+        if isinstance(frame, attempts.Lost):
+            placed.attempt.close()
+        if kind == message.Outcome.PAUSED:
+            # The caller has since taken what was sent, so the run goes on where it stopped.
+            self._ctx.kernel.meter.count(metrics.Metrics.RESUMES)
+            return
+        self._avoid.add(placed.peer.server.name)
+        if self._ctx.kernel.strikes.is_refused(start.fingerprint):
+            raise self._cut("two backend servers fell while they held it; change the request")
+        if asyncio.get_running_loop().time() >= deadline:
+            raise self._cut("the deadline passed")
+        if not self._ctx.budget.take():
+            raise self._cut(f"{detail}; the retry budget is spent, try again later")
+        counter = metrics.Metrics.RESUMES if self._pieces else metrics.Metrics.RETRIES
+        self._ctx.kernel.meter.count(counter)
+
+    def _cut(self, detail: str) -> outcome.Unknown:
+        return outcome.Unknown(502, "answer_not_whole", detail)
+
+    def close(self) -> None:
+        """The caller went away: stop the attempt, and bill what it has had."""
+        if self._attempt is None:
+            return
+        if self._pieces:
+            self._bill(self._attempt.start, 0, self._pieces)
+        self._attempt.close()
+
+
+def _current(doc: data.Document, organisation: data.Organisation) -> data.Organisation:
+    """The organisation as the document in force has it."""
+    for item in doc.organisations:
+        if item.name == organisation.name:
+            return item
+    raise outcome.NotRun(403, "unknown_organisation", "organisation is no longer configured")
+
+
+def add_pieces(pieces: list[bytes]) -> tuple[dict[str, Any], ...]:
+    """Join the pieces of a streamed answer into the choices of a whole one.
+
+    Args:
+      pieces: JSON arrays of choices, each with a ``delta``.
+
+    Returns:
+      The choices, each with a ``message``.
+    """
+    joined: dict[int, dict[str, Any]] = {}
+    for piece in pieces:
+        for item in msgspec.json.decode(piece):
+            index = item.get("index", 0)
+            whole = joined.setdefault(
+                index, {"index": index, "message": {"role": "assistant", "content": ""}}
+            )
+            _add_delta(whole, item)
+    return tuple(joined[index] for index in sorted(joined))
+
+
+def _add_delta(whole: dict[str, Any], item: dict[str, Any]) -> None:
+    for name, value in item.get("delta", {}).items():
+        if isinstance(value, str) and name != "role":
+            whole["message"][name] = (whole["message"].get(name) or "") + value
+        elif value is not None:
+            whole["message"][name] = value
+    if item.get("finish_reason"):
+        whole["finish_reason"] = item["finish_reason"]
--- /dev/null
+++ b/berylrock/daemons/entry/peers.py
@@ -0,0 +1,266 @@
+"""Keeps one connection, and one task, for each backend server's sidecar.
+
+A path that breaks or goes silent is made anew, and the attempts on it attach again where they
+were; only when that fails for some seconds are they given up.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from berylrock.core import data, errors, message, metrics
+from berylrock.daemons import kernel
+from berylrock.daemons.entry import attempts
+from berylrock.loader import settings
+from berylrock.plugins import registry
+from berylrock.wire import link
+
+__all__ = ["Listener", "Peer", "PeerTable"]
+
+SILENCE_SECONDS = 2.0
+HEARTBEAT_SECONDS = 0.5
+GIVE_UP_SECONDS = 3.0
+RECONNECT_MIN_SECONDS = 0.05
+RECONNECT_MAX_SECONDS = 1.0
+
+Listener = Callable[["Peer", message.Message], None]
+
+
+class Peer:
+    """One backend server, through its sidecar.
+
+    Attributes:
+      server: The server, as the VM list has it.
+      report: Its last report.
+      attempts: The attempts that run there, by id.
+      sent_tokens: Tokens of attempts sent since the last report.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        parts: kernel.Kernel,
+        server: data.Server,
+        listener: Listener,
+    ) -> None:
+        self._cfg = cfg
+        self._parts = parts
+        self._listener = listener
+        self._link: link.Link | None = None
+        self._incarnation = ""
+        self._lost_at = parts.timer.now()
+        self.server = server
+        self.report = message.Report()
+        self.attempts: dict[str, attempts.Attempt] = {}
+        self.sent_tokens = 0
+        self.task = parts.timer.spawn(self._run())
+
+    @property
+    def connected(self) -> bool:
+        """Whether the path is open."""
+        return self._link is not None
+
+    def send(self, msg: message.Message) -> None:
+        """Send a message, if the path is open."""
+        if self._link is not None:
+            self._link.send(msg)
+
+    def start(self, start: message.Start) -> attempts.Attempt:
+        """Send a request."""
+        attempt = attempts.Attempt(start, self)
+        self.attempts[start.attempt] = attempt
+        self.sent_tokens += start.tokens
+        self.send(start)
+        return attempt
+
+    def forget(self, attempt: str) -> None:
+        """Drop frames of this attempt from now on."""
+        self.attempts.pop(attempt, None)
+
+    def view(self) -> registry.ServerView:
+        """What a balancer needs to know."""
+        capacity = self.report.capacity_tokens or 1
+        load = (self.report.held_tokens + self.sent_tokens) / capacity
+        load += self.report.queued
+        return registry.ServerView(
+            self.server.name,
+            self.server.zone == self._cfg.zone,
+            load,
+            len(self.attempts),
+            self.report.cold,
+        )
+
+    def close(self) -> None:
+        """The server is gone for good."""
+        self.task.cancel()
+        if self._link is not None:
+            self._link.close()
+        self._give_up("backend server is gone from the VM list")
+
+    async def _run(self) -> None:
+        pause = RECONNECT_MIN_SECONDS
+        while True:
+            try:
+                conn, welcome = await link.connect(
+                    self.server.address,
+                    self.server.port,
+                    self._cfg.secret,
+                    self._cfg.name,
+                    self._cfg.zone,
+                )
+            except errors.LinkLost as exc:
+                if pause == RECONNECT_MIN_SECONDS:
+                    self._parts.log.write("connect_failed", peer=self.server.name, error=str(exc))
+                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                pause = min(RECONNECT_MAX_SECONDS, pause * 2)
+                continue
+            pause = RECONNECT_MIN_SECONDS
+            await self._serve(conn, welcome)
+
+    async def _serve(self, conn: link.Link, welcome: message.Welcome) -> None:
+        self._parts.log.write("connected", peer=welcome.server, incarnation=welcome.incarnation)
+        self._link = conn
+        if welcome.incarnation != self._incarnation:
+            self._give_up("sidecar was restarted")
+            self._incarnation = welcome.incarnation
+        self._greet(conn)
+        try:
+            async for msg in conn.messages():
+                self._take(msg)
+        except errors.ProtocolError as exc:
+            self._parts.log.write("peer_broke_protocol", peer=self.server.name, error=str(exc))
+        finally:
+            conn.close()
+            self._link = None
+            self._lost_at = self._parts.timer.now()
+            self.report = self.report._replace(reachable=False)
+            self._parts.meter.count(metrics.Metrics.LINKS_LOST)
+            self._parts.log.write("link_lost", peer=self.server.name, attempts=len(self.attempts))
+
+    def _greet(self, conn: link.Link) -> None:
+        config = self._parts.config
+        conn.send(message.Config(config.version, config.body))
+        conn.send(message.Strikes(strikes=self._parts.strikes.all()))
+        for attempt in self.attempts.values():
+            self._parts.meter.count(metrics.Metrics.REATTACHED)
+            self._parts.log.write(
+                "attempt_reattached",
+                request=attempt.start.request_id,
+                attempt=attempt.start.attempt,
+                offset=attempt.offset,
+            )
+            conn.send(message.Attach(attempt.start.attempt, attempt.offset))
+
+    def _take(self, msg: message.Message) -> None:
+        if isinstance(msg, message.Chunk | message.End | message.Refused):
+            self._deliver(msg)
+            return
+        if isinstance(msg, message.Report):
+            self.report = msg
+            self.sent_tokens = 0
+        self._listener(self, msg)
+
+    def _deliver(self, msg: message.Chunk | message.End | message.Refused) -> None:
+        attempt = self.attempts.get(msg.attempt)
+        if attempt is None:
+            self._parts.meter.count(metrics.Metrics.LATE_FRAMES)
+            self.send(message.Cancel(msg.attempt))
+            return
+        attempt.deliver(msg)
+        if not isinstance(msg, message.Chunk):
+            self.forget(msg.attempt)
+        if isinstance(msg, message.Refused):
+            self.send(message.Cancel(msg.attempt))
+
+    def _give_up(self, detail: str) -> None:
+        for attempt in list(self.attempts.values()):
+            self.forget(attempt.start.attempt)
+            attempt.deliver(attempts.Lost(detail))
+
+    def tend(self) -> None:
+        """Send a heartbeat; make a silent path anew; give up attempts on one long broken."""
+        now = self._parts.timer.now()
+        if self._link is not None:
+            self._link.send(message.Heartbeat(self._parts.config.version))
+            if now - self._link.last_heard > SILENCE_SECONDS:
+                self._parts.log.write("link_silent", peer=self.server.name)
+                self._link.close()
+        elif now - self._lost_at > GIVE_UP_SECONDS:
+            self._give_up("no path to the sidecar")
+
+
+class PeerTable:
+    """All backend servers that the VM list names.
+
+    Attributes:
+      peers: The peers by server name.
+    """
+
+    def __init__(
+        self, cfg: settings.EntrySettings, parts: kernel.Kernel, listener: Listener
+    ) -> None:
+        self._cfg = cfg
+        self._parts = parts
+        self._listener = listener
+        self.peers: dict[str, Peer] = {}
+
+    def update(self, servers: tuple[data.Server, ...]) -> None:
+        """Follow the VM list.
+
+        The list lags, so a server that it no longer names is dropped only once its path is lost.
+        """
+        listed = {server.name: server for server in servers}
+        for name, server in listed.items():
+            peer = self.peers.get(name)
+            moved = peer is not None and peer.server[:5] != server[:5]
+            if peer is not None and moved:
+                peer.close()
+                peer = None
+            if peer is None:
+                self.peers[name] = Peer(self._cfg, self._parts, server, self._listener)
+            else:
+                peer.server = server
+        for name, peer in list(self.peers.items()):
+            if name not in listed:
+                peer.server = peer.server._replace(leaving=True)
+                if not peer.connected:
+                    peer.close()
+                    del self.peers[name]
+
+    def tend(self) -> None:
+        """Tend all peers."""
+        for peer in list(self.peers.values()):
+            peer.tend()
+
+    def broadcast(self, msg: message.Message) -> None:
+        """Send a message to all connected sidecars."""
+        for peer in self.peers.values():
+            peer.send(msg)
+
+    def entry_count(self) -> int:
+        """Entry processes in the fleet, as the sidecars count them; at least 1."""
+        return max([1, *(peer.report.entries for peer in self.peers.values())])
+
+    def find(self, doc: data.Document, pool: str, target: str) -> list[Peer]:
+        """Find the servers that may be given new work.
+
+        Args:
+          doc: The document in force.
+          pool: The pool that serves the target.
+          target: ``model@version`` that an engine must have loaded, or a service's name.
+
+        Returns:
+          The peers that are connected, in service and not leaving.
+        """
+        in_service = {zone.name for zone in doc.zones if zone.in_service}
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.connected
+            and peer.server.pool == pool
+            and peer.server.zone in in_service
+            and not peer.server.leaving
+            and not peer.report.leaving
+            and peer.report.reachable
+            and ("@" not in target or target in peer.report.loaded)
+        ]
--- /dev/null
+++ b/berylrock/daemons/entry/placement.py
@@ -0,0 +1,150 @@
+"""Finds a backend server that takes an attempt, going on to the next at each refusal."""
+
+import asyncio
+import random
+import secrets
+from typing import NamedTuple
+
+from berylrock.core import data, message
+from berylrock.daemons import kernel
+from berylrock.daemons.entry import attempts, outcome, peers
+from berylrock.ops import admission
+from berylrock.plugins import registry
+
+__all__ = ["Placed", "Placer", "Reselect", "find_pool"]
+
+RETRY_PAUSE_SECONDS = 0.05
+PATIENCE_SECONDS = 10.0
+ATTEMPT_BYTES = 12
+FATAL_REASONS = frozenset((admission.Reason.QUARANTINED,))
+RESELECT_REASONS = frozenset((admission.Reason.WITHDRAWN, admission.Reason.NOT_ALLOWED))
+
+
+class Reselect(Exception):
+    """The version must not be used any more; choose another."""
+
+
+class Placed(NamedTuple):
+    """An attempt that a server took, and its first frame."""
+
+    attempt: attempts.Attempt
+    peer: peers.Peer
+    first: attempts.Frame
+
+
+class Placer:
+    """Places attempts on the servers of the peer table."""
+
+    def __init__(
+        self, parts: kernel.Kernel, table: peers.PeerTable, balancer: registry.Balancer
+    ) -> None:
+        self._parts = parts
+        self._peers = table
+        self._balancer = balancer
+        self._random = random.Random(secrets.randbits(64))
+
+    def rank(self, pool: str, target: str, excluded: set[str]) -> list[peers.Peer]:
+        """The servers that could take an attempt, the preferred one first."""
+        doc = self._parts.config.doc
+        assert doc is not None
+        found = {
+            peer.server.name: peer
+            for peer in self._peers.find(doc, pool, target)
+            if peer.server.name not in excluded
+        }
+        views = tuple(peer.view() for peer in found.values())
+        return [found[view.name] for view in self._balancer(views, self._random)]
+
+    async def place(
+        self, start: message.Start, pool: str, deadline: float, avoid: set[str]
+    ) -> Placed:
+        """Place an attempt.
+
+        Args:
+          start: The request; its attempt id, deadline and version are filled in here.
+          pool: The pool that serves it.
+          deadline: Event-loop time until which the caller waits.
+          avoid: Servers that failed this request, used only if there is no other.
+
+        Returns:
+          The attempt and its first frame.
+
+        Raises:
+          NotRun: No server took it.
+          Reselect: The version must not be used any more.
+        """
+        loop = asyncio.get_running_loop()
+        give_up = min(deadline, loop.time() + PATIENCE_SECONDS)
+        refused: set[str] = set()
+        last = "no backend server in service has it; ask the operators or try again"
+        while loop.time() < give_up:
+            ranked = self.rank(pool, start.target, refused | avoid)
+            if not ranked:
+                ranked = self.rank(pool, start.target, refused)
+            if not ranked:
+                refused.clear()
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                self._check_target(start.target)
+                continue
+            placed = await self._try(start, ranked[0], deadline)
+            if not isinstance(placed.first, message.Refused):
+                return placed
+            last = self._judge_refusal(start, placed, refused)
+            await self._catch_up(placed.first.config_version)
+        raise outcome.NotRun(503, "no_capacity", f"{last}; not run, try again")
+
+    def _check_target(self, target: str) -> None:
+        doc = self._parts.config.doc
+        if doc is not None and target in doc.withdrawals:
+            raise Reselect(target)
+
+    async def _try(self, start: message.Start, peer: peers.Peer, deadline: float) -> Placed:
+        loop = asyncio.get_running_loop()
+        left_ms = max(1, int((deadline - loop.time()) * 1000))
+        sent = start._replace(
+            attempt=secrets.token_hex(ATTEMPT_BYTES),
+            timeout_ms=left_ms,
+            config_version=self._parts.config.version,
+        )
+        self._parts.log.write(
+            "attempt_sent",
+            request=sent.request_id,
+            attempt=sent.attempt,
+            target=sent.target,
+            server=peer.server.name,
+            zone=peer.server.zone,
+        )
+        attempt = peer.start(sent)
+        try:
+            return Placed(attempt, peer, await attempt.next_frame())
+        except asyncio.CancelledError:
+            attempt.close()
+            raise
+
+    def _judge_refusal(self, start: message.Start, placed: Placed, refused: set[str]) -> str:
+        first = placed.first
+        assert isinstance(first, message.Refused)
+        if first.reason in FATAL_REASONS:
+            raise outcome.NotRun(422, first.reason, f"{first.detail}; change the request")
+        if first.reason in RESELECT_REASONS:
+            raise Reselect(start.target)
+        if first.reason != admission.Reason.LAGGING:
+            refused.add(placed.peer.server.name)
+        return f"{placed.peer.server.name}: {first.detail}"
+
+    async def _catch_up(self, version: int) -> None:
+        """Wait a moment for a newer document that a sidecar has."""
+        config = self._parts.config
+        for _ in range(10):
+            if config.version >= version:
+                return
+            self._peers.broadcast(message.Config(config.version, b""))
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+
+
+def find_pool(doc: data.Document, target: data.VersionId) -> str:
+    """The pool whose engines serve a version."""
+    for model in doc.models:
+        if model.name == target.model:
+            return model.pool
+    raise Reselect(str(target))
--- /dev/null
+++ b/berylrock/daemons/entry/process.py
@@ -0,0 +1,261 @@
+"""Assembles the entry process and runs it until it is told to stop."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from berylrock.adapters import interfaces, platform
+from berylrock.core import errors, message
+from berylrock.daemons import admin, kernel, stopping
+from berylrock.daemons.entry import callers, context, controller, peers, placement
+from berylrock.loader import settings
+from berylrock.ops import budget, claims, configuration, fleet, ledger, sessions, verdicts
+from berylrock.plugins import registry
+
+__all__ = ["Entry", "run"]
+
+WATCH_SECONDS = 2.0
+ERROR_PAUSE_SECONDS = 0.5
+RATINGS_SECONDS = 0.5
+DRAIN_CHECK_SECONDS = 0.05
+BILL_PATIENCE_SECONDS = 5.0
+
+
+class Entry:
+    """All parts of an entry process."""
+
+    def __init__(self, cfg: settings.EntrySettings) -> None:
+        self._cfg = cfg
+        self._parts = kernel.build(cfg.name, cfg.statsd, cfg.platform)
+        parts = self._parts
+        plugins = registry.load((*registry.BUILT_IN, *cfg.plugins))
+        self._vms: interfaces.VmList = platform.HttpVmList(cfg.platform.vms_url, parts.meter)
+        self._ratings: interfaces.Ratings | None = None
+        if cfg.platform.ratings_url:
+            self._ratings = platform.HttpRatings(cfg.platform.ratings_url, parts.meter)
+        self._rated = 0
+        table = peers.PeerTable(cfg, parts, self._hear)
+        balancer: Any = plugins.find(cfg.balancer)
+        policy: Any = plugins.find(cfg.policy)
+        self._ctx = context.Context(
+            cfg,
+            parts,
+            table,
+            placement.Placer(parts, table, balancer),
+            policy,
+            budget.RetryBudget(),
+            claims.ClaimKeeper(parts.objects, parts.timer, parts.log),
+            ledger.Ledger(parts.objects, cfg.name, parts.meter),
+            sessions.SessionTable(parts.objects),
+            fleet.Fleet(parts.objects, cfg.platform.environment, parts.log),
+            verdicts.Verdict(),
+        )
+        self._callers = callers.Callers(self._ctx, self._submit)
+        self._controller = controller.Controller(self._ctx)
+        parts.config.subscribe(self._config_changed)
+        self._ctx.fleet.subscribe(self._fleet_changed)
+
+    def _config_changed(self) -> None:
+        config = self._parts.config
+        self._ctx.peers.broadcast(message.Config(config.version, config.body))
+
+    def _fleet_changed(self) -> None:
+        strikes = [
+            message.Strike(fingerprint, fall)
+            for fingerprint, falls in self._ctx.fleet.record.refused.items()
+            for fall in falls
+        ]
+        self._spread(message.Strikes(strikes=tuple(strikes)))
+
+    def _hear(self, peer: peers.Peer, msg: message.Message) -> None:
+        """Take a message of a sidecar that belongs to no attempt."""
+        config = self._parts.config
+        if isinstance(msg, message.Report):
+            if msg.config_version > config.version:
+                peer.send(message.Config(config.version, b""))
+        elif isinstance(msg, message.Config):
+            if msg.body:
+                config.offer(msg.version, msg.body, peer.server.name)
+            else:
+                peer.send(message.Config(config.version, config.body))
+        elif isinstance(msg, message.Strikes):
+            self._spread(msg)
+        elif isinstance(msg, message.BillsLeft):
+            for bill in msg.bills:
+                self._ctx.ledger.add(bill)
+        elif isinstance(msg, message.OutcomeLeft):
+            self._parts.timer.spawn(self._take_outcome(peer, msg))
+        elif isinstance(msg, message.OrderDone):
+            self._controller.note_done(msg)
+
+    async def _take_outcome(self, peer: peers.Peer, msg: message.OutcomeLeft) -> None:
+        if await self._callers.calls.take_left(msg):
+            peer.send(message.Cancel(msg.attempt))
+
+    def _spread(self, msg: message.Strikes) -> None:
+        """Pass on what is new about crashing requests, and store what is refused."""
+        table = self._parts.strikes
+        new = table.add(msg.strikes, self._parts.timer.now())
+        cleared = tuple(item for item in msg.cleared if table.clear(item))
+        if new or cleared:
+            self._ctx.peers.broadcast(message.Strikes(new, cleared))
+        for strike in new:
+            if table.is_refused(strike.fingerprint):
+                self._parts.log.write("request_quarantined", fingerprint=strike.fingerprint)
+                self._parts.timer.spawn(self._store_refused(strike.fingerprint))
+
+    async def _store_refused(self, fingerprint: str) -> None:
+        falls = tuple(
+            item.fall for item in self._parts.strikes.all() if item.fingerprint == fingerprint
+        )
+        while not await self._ctx.fleet.add_refused(fingerprint, falls):
+            await asyncio.sleep(ERROR_PAUSE_SECONDS)
+
+    def _submit(self, request_id: str, version: str, kind: str, text: str) -> None:
+        if self._ratings is not None:
+            self._parts.timer.spawn(self._submit_one(request_id, version, kind, text))
+
+    async def _submit_one(self, request_id: str, version: str, kind: str, text: str) -> None:
+        assert self._ratings is not None
+        try:
+            await self._ratings.submit(request_id, version, kind, text)
+        except errors.StoreUnavailable:
+            # Ratings are a sample; one that is lost is not missed.
+            return
+
+    async def _read_ratings(self) -> None:
+        doc = self._parts.config.doc
+        if self._ratings is None or doc is None:
+            return
+        try:
+            rows = await self._ratings.ratings(self._rated)
+        except errors.StoreUnavailable:
+            return
+        for row in rows:
+            self._rated = max(self._rated, row.sequence)
+            self._ctx.verdicts.note_rating(doc, row.version, row.kind, row.rating)
+        await self._report_bad(doc)
+
+    async def _report_bad(self, doc: Any) -> None:
+        for version_id, evidence in self._ctx.verdicts.bad().items():
+            if version_id in self._ctx.fleet.record.bad:
+                continue
+            if verdicts.find_version(doc, version_id) is None:
+                continue
+            if await self._ctx.fleet.add_bad(version_id, evidence):
+                self._parts.log.write("version_found_bad", version=version_id, evidence=evidence)
+
+    async def _watch_config(self) -> None:
+        config = self._parts.config
+        name = self._cfg.platform.environment
+        while True:
+            try:
+                stored = await self._parts.objects.watch(
+                    configuration.OBJECT_KIND, name, config.version, WATCH_SECONDS
+                )
+            except errors.StoreUnavailable:
+                await asyncio.sleep(ERROR_PAUSE_SECONDS)
+                continue
+            if stored is not None and not config.offer(stored.version, stored.body, "objects"):
+                await asyncio.sleep(ERROR_PAUSE_SECONDS)
+
+    async def _watch_fleet(self) -> None:
+        while True:
+            try:
+                await self._ctx.fleet.watch(WATCH_SECONDS)
+            except errors.StoreUnavailable:
+                await asyncio.sleep(ERROR_PAUSE_SECONDS)
+
+    async def _read_vms(self) -> None:
+        try:
+            servers = await self._vms.servers()
+        except errors.StoreUnavailable as exc:
+            self._parts.log.write("vm_list_unavailable", error=str(exc))
+            return
+        if servers is not None:
+            self._ctx.peers.update(servers)
+
+    async def _flush_bills(self) -> None:
+        await self._ctx.ledger.flush(
+            lambda attempts: self._ctx.peers.broadcast(message.BillsStored(attempts))
+        )
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            "role": "entry",
+            "process": self._cfg.name,
+            "zone": self._cfg.zone,
+            "config_version": self._parts.config.version,
+            "fleet_version": self._ctx.fleet.version,
+            "bad_versions": dict(self._ctx.fleet.record.bad),
+            "progress": {name: p.percent for name, p in self._ctx.fleet.record.progress.items()},
+            "quarantined": list(self._ctx.fleet.record.refused),
+            "active": self._callers.active,
+            "unstored_bills": len(self._ctx.ledger.pending),
+            "controller": self._controller.describe(),
+            "servers": {
+                name: {"connected": peer.connected, "zone": peer.server.zone}
+                | peer.report._asdict()
+                for name, peer in list(self._ctx.peers.peers.items())
+            },
+            "counts": dict(self._parts.meter.counts),
+        }
+
+    def _subscribe(self) -> None:
+        timer = self._parts.timer
+        timer.spawn(self._watch_config())
+        timer.spawn(self._watch_fleet())
+        timer.every(self._cfg.vms_seconds, self._read_vms)
+        timer.every(peers.HEARTBEAT_SECONDS, self._ctx.peers.tend)
+        timer.every(self._cfg.bill_seconds, self._flush_bills)
+        timer.every(RATINGS_SECONDS, self._read_ratings)
+        timer.every(controller.TEND_SECONDS, self._controller.tend)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish all requests."""
+        stop = stopping.Stop(self._parts.log)
+        web_runner = web.AppRunner(self._callers.build(), access_log=None)
+        await web_runner.setup()
+        port = admin.AdminServer(self._cfg, self._parts.log, self._status, self._ready(stop))
+        port.start()
+        await self._read_vms()
+        self._subscribe()
+        site = web.TCPSite(web_runner, self._cfg.address, self._cfg.port, backlog=1024)
+        await site.start()
+        self._parts.log.write("started", zone=self._cfg.zone, port=self._cfg.port)
+        await stop.wait()
+        await self._drain(stop, site)
+        await web_runner.cleanup()
+        port.stop()
+        await self._parts.timer.close()
+        self._parts.log.write("stopped")
+
+    def _ready(self, stop: stopping.Stop) -> Any:
+        return lambda: self._parts.config.version > 0 and not stop.requested
+
+    async def _drain(self, stop: stopping.Stop, site: web.TCPSite) -> None:
+        # Readiness goes first, so that the balancer stops sending before the port closes.
+        await asyncio.sleep(self._cfg.readiness_seconds)
+        await site.stop()
+        timer = self._parts.timer
+        deadline = timer.now() + self._cfg.drain_seconds
+        while self._busy() and timer.now() < deadline and not stop.forced:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        await self._controller.release()
+        deadline = timer.now() + BILL_PATIENCE_SECONDS
+        while self._ctx.ledger.pending and timer.now() < deadline and not stop.forced:
+            await self._flush_bills()
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
+    def _busy(self) -> bool:
+        return self._callers.active > 0 or self._callers.calls.busy
+
+
+def run(cfg: settings.EntrySettings) -> None:
+    """Run an entry process until it is told to stop."""
+
+    async def main() -> None:
+        await Entry(cfg).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/berylrock/daemons/entry/request.py
@@ -0,0 +1,226 @@
+"""Reads callers' requests into typed values, or says what is wrong with them."""
+
+import hashlib
+import re
+import secrets
+from typing import Any, NamedTuple
+
+import msgspec
+from aiohttp import web
+
+from berylrock.core import data
+from berylrock.daemons import admin
+from berylrock.daemons.entry import outcome
+from berylrock.loader import settings
+
+__all__ = ["CallRequest", "Caller", "ModelRequest", "read_call", "read_caller", "read_model"]
+
+ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+CHARS_PER_TOKEN = 4
+DEFAULT_MAX_TOKENS = 512
+MAX_TIMEOUT_SECONDS = 3600.0
+PRIORITY_RANGE = 10
+FORWARDED_NOT = frozenset(
+    (
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+class Caller(NamedTuple):
+    """What every request has.
+
+    Attributes:
+      request_id: The caller's id for it, or a new one.
+      organisation: Whose key it carries.
+      timeout_seconds: Time until its deadline.
+      priority: The organisation's priority plus what the caller asked for.
+      key: The caller's idempotency key, or an empty text.
+    """
+
+    request_id: str
+    organisation: data.Organisation
+    timeout_seconds: float
+    priority: int
+    key: str
+
+
+class ModelRequest(NamedTuple):
+    """A request for a model.
+
+    Attributes:
+      caller: Who asks.
+      asked: ``auto``, a model, or ``model@version``.
+      kind: Kind of request, for quality.
+      session: Session header as it came, or an empty text.
+      stream: Whether the answer goes out as server-sent events.
+      body: The body as it came.
+      tokens: Tokens to reserve: prompt and longest answer.
+      fingerprint: Digest of its content.
+    """
+
+    caller: Caller
+    asked: str
+    kind: str
+    session: str
+    stream: bool
+    body: bytes
+    tokens: int
+    fingerprint: str
+
+
+class CallRequest(NamedTuple):
+    """A call of a plain service.
+
+    Attributes:
+      caller: Who asks.
+      service: The service.
+      repeatable: Whether the call may run more than once.
+      method: HTTP method.
+      path: Path and query at the service.
+      headers: Header lines to pass on.
+      body: The body as it came.
+      fingerprint: Digest of its content.
+    """
+
+    caller: Caller
+    service: data.Service
+    repeatable: bool
+    method: str
+    path: str
+    headers: tuple[str, ...]
+    body: bytes
+    fingerprint: str
+
+
+class _Body(msgspec.Struct):
+    messages: list[dict[str, Any]]
+    model: str = "auto"
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    metadata: dict[str, Any] = {}
+
+
+def _digest(*parts: bytes) -> str:
+    return hashlib.sha256(b"\0".join(parts)).hexdigest()
+
+
+def _read_number(req: web.Request, name: str, low: float, high: float) -> float | None:
+    text = req.headers.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = float("nan")
+    if not low <= value <= high:
+        raise outcome.NotRun(400, "bad_header", f"{name} must be a number from {low} to {high}")
+    return value
+
+
+def _read_id(req: web.Request, name: str) -> str:
+    text = req.headers.get(name, "")
+    if text and not ID_PATTERN.fullmatch(text):
+        remedy = f"{name} must be 1 to 128 letters, digits or . _ : -"
+        raise outcome.NotRun(400, "bad_header", remedy)
+    return text
+
+
+def read_caller(req: web.Request, doc: data.Document, cfg: settings.EntrySettings) -> Caller:
+    """Read what every request has.
+
+    Args:
+      req: The HTTP request.
+      doc: The document in force.
+      cfg: The process's settings.
+
+    Returns:
+      Who asks.
+
+    Raises:
+      NotRun: The key or a header is missing or wrong.
+    """
+    header = req.headers.get("Authorization", "")
+    if not header.startswith("Bearer "):
+        raise outcome.NotRun(401, "no_key", "send Authorization: Bearer with a caller key")
+    digest = admin.digest_key(header.removeprefix("Bearer "))
+    owners = [item for item in doc.organisations if digest in item.key_sha256]
+    if not owners:
+        raise outcome.NotRun(401, "unknown_key", "use a caller key listed for your organisation")
+    priority = _read_number(req, "X-Priority", -PRIORITY_RANGE, 0) or 0
+    timeout_ms = _read_number(req, "X-Timeout-Ms", 1, MAX_TIMEOUT_SECONDS * 1000)
+    timeout = timeout_ms / 1000 if timeout_ms else cfg.default_timeout_seconds
+    return Caller(
+        _read_id(req, "X-Request-Id") or secrets.token_hex(12),
+        owners[0],
+        timeout,
+        owners[0].priority + int(priority),
+        _read_id(req, "Idempotency-Key"),
+    )
+
+
+def _count_characters(value: Any) -> int:
+    if isinstance(value, str):
+        return len(value)
+    if isinstance(value, dict):
+        return sum(_count_characters(item) for item in value.values())
+    if isinstance(value, list):
+        return sum(_count_characters(item) for item in value)
+    return 0
+
+
+def read_model(req: web.Request, raw: bytes, caller: Caller) -> ModelRequest:
+    """Read a request for a model.
+
+    Raises:
+      NotRun: The body is not a chat completion request.
+    """
+    try:
+        body = msgspec.json.decode(raw, type=_Body)
+    except msgspec.MsgspecError as exc:
+        remedy = f"send a chat completion request as JSON: {exc}"
+        raise outcome.NotRun(400, "bad_body", remedy) from exc
+    kind = req.headers.get("X-Request-Kind") or str(body.metadata.get("kind", data.DEFAULT_KIND))
+    prompt = _count_characters(body.messages) // CHARS_PER_TOKEN + 1
+    longest = body.max_completion_tokens or body.max_tokens or DEFAULT_MAX_TOKENS
+    if longest < 1:
+        raise outcome.NotRun(400, "bad_body", "max_tokens must be at least 1")
+    content = msgspec.json.encode(body.messages, order="sorted")
+    return ModelRequest(
+        caller,
+        body.model,
+        kind,
+        req.headers.get("X-Session", ""),
+        body.stream,
+        raw,
+        prompt + longest,
+        _digest(caller.organisation.name.encode(), content),
+    )
+
+
+def read_call(req: web.Request, raw: bytes, caller: Caller, doc: data.Document) -> CallRequest:
+    """Read a call of a plain service, ``/services/<name>/<path>``.
+
+    Raises:
+      NotRun: There is no such service.
+    """
+    name = req.match_info["service"]
+    services = [item for item in doc.services if item.name == name]
+    if not services:
+        known = ", ".join(item.name for item in doc.services)
+        raise outcome.NotRun(404, "unknown_service", f"no service {name}; one of: {known}")
+    path = req.raw_path.removeprefix(f"/services/{name}") or "/"
+    call = data.find_call(services[0], req.method, path.partition("?")[0])
+    headers = tuple(
+        f"{key}: {value}" for key, value in req.headers.items() if key.lower() not in FORWARDED_NOT
+    )
+    digest = _digest(caller.organisation.name.encode(), req.method.encode(), path.encode(), raw)
+    return CallRequest(caller, services[0], call.idempotent, req.method, path, headers, raw, digest)
--- /dev/null
+++ b/berylrock/daemons/kernel.py
@@ -0,0 +1,53 @@
+"""The parts that every process has and its other parts share."""
+
+from typing import NamedTuple
+
+from berylrock.adapters import interfaces, platform
+from berylrock.core import eventlog, metrics, timer
+from berylrock.loader import settings
+from berylrock.ops import configuration, strikes
+
+__all__ = ["Kernel", "build"]
+
+
+class Kernel(NamedTuple):
+    """What every part of a process may use.
+
+    Attributes:
+      log: Writes events.
+      meter: Counts and times.
+      timer: Calls back and runs tasks.
+      config: The document in force.
+      objects: The object API.
+      strikes: Requests that were held when a backend server fell.
+    """
+
+    log: eventlog.EventLog
+    meter: metrics.Metrics
+    timer: timer.Timer
+    config: configuration.Configuration
+    objects: interfaces.Objects
+    strikes: strikes.StrikeTable
+
+
+def build(name: str, statsd: str, where: settings.PlatformSettings) -> Kernel:
+    """Make the shared parts of a process.
+
+    Args:
+      name: The process's name.
+      statsd: ``host:port`` of the metrics receiver; empty for none.
+      where: Where the platform's services are.
+
+    Returns:
+      The parts.
+    """
+    log = eventlog.EventLog(name)
+    meter = metrics.Metrics(statsd, name)
+    return Kernel(
+        log,
+        meter,
+        timer.Timer(log.write),
+        configuration.Configuration(log),
+        platform.HttpObjects(where.objects_url, meter),
+        strikes.StrikeTable(),
+    )
--- /dev/null
+++ b/berylrock/daemons/sidecar/runner.py
@@ -0,0 +1,223 @@
+"""Runs attempts against the backend server and says truthfully how each one ended."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from berylrock.adapters import interfaces
+from berylrock.core import message, metrics
+from berylrock.daemons import kernel
+from berylrock.daemons.sidecar import backend
+from berylrock.loader import settings
+from berylrock.ops import admission, runs
+
+__all__ = ["Runner"]
+
+READER_PATIENCE_SECONDS = 5.0
+CALL_PIECE_BYTES = 65_536
+MAX_ANSWER_BYTES = 4_000_000
+STALLED = "backend server sent nothing for too long"
+
+
+class Runner:
+    """Takes attempts through admission and the backend server.
+
+    Attributes:
+      runs: The attempts that run, and those that ended and were not yet forgotten.
+      bills: Records of answered attempts that no entry process has stored yet.
+      bill_owners: The entry process that is to store each of them.
+      news: What was learned about crashing requests and not yet sent.
+      leaving: Whether new attempts are refused because the sidecar is stopping.
+    """
+
+    def __init__(
+        self, cfg: settings.SidecarSettings, parts: kernel.Kernel, server: backend.Backend
+    ) -> None:
+        self._cfg = cfg
+        self._config = parts.config
+        self._strikes = parts.strikes
+        self._log = parts.log
+        self._meter = parts.meter
+        self.backend = server
+        self.warmth = server.warmth
+        self.admission = admission.Admission(self.warmth, parts.strikes, cfg.max_queue)
+        self.runs: dict[str, runs.Run] = {}
+        self.bills: dict[str, message.Bill] = {}
+        self.bill_owners: dict[str, str] = {}
+        self.news: list[message.Strikes] = []
+        self.leaving = False
+
+    def check(self, start: message.Start) -> admission.Refusal | None:
+        """Why a request must not run here now, or None."""
+        if self.leaving:
+            return admission.Refusal(admission.Reason.LEAVING, "backend server is leaving")
+        if start.config_version < self._config.version:
+            detail = f"document {self._config.version} is in force here"
+            return admission.Refusal(admission.Reason.LAGGING, detail)
+        refusal = admission.find_refusal(self._config.doc, self._cfg.pool, self._cfg.zone, start)
+        if refusal is not None:
+            return refusal
+        if not self.backend.reachable:
+            return admission.Refusal(admission.Reason.UNREACHABLE, "backend server is down")
+        if self._is_engine() and start.target not in self.backend.report.loaded:
+            return admission.Refusal(admission.Reason.NOT_LOADED, f"{start.target} is not loaded")
+        return None
+
+    def _is_engine(self) -> bool:
+        pool = self.warmth.pool
+        return pool is not None and pool.kind == "engine"
+
+    async def run(self, run: runs.Run) -> None:
+        """Run one attempt to its end; never raises but when cancelled."""
+        start = run.start
+        try:
+            refusal = self.check(start)
+            if refusal is not None:
+                raise refusal
+            await self.admission.enter(start)
+            try:
+                late = self.check(start)
+                if late is not None and late.reason != admission.Reason.LAGGING:
+                    raise late
+                await self._pass_on(run)
+            finally:
+                self.admission.leave(start.attempt)
+        except admission.Refusal as refusal:
+            self._refuse(run, refusal)
+        except asyncio.CancelledError:
+            if run.end is None:
+                run.finish(self._end(run, message.Outcome.CANCELLED, "cancelled"))
+
+    def _refuse(self, run: runs.Run, refusal: admission.Refusal) -> None:
+        self._meter.count(metrics.Metrics.REFUSED)
+        start = run.start
+        self._log.write(
+            "attempt_refused",
+            request=start.request_id,
+            attempt=start.attempt,
+            reason=refusal.reason,
+            detail=refusal.detail,
+        )
+        run.finish(
+            message.Refused(start.attempt, refusal.reason, refusal.detail, self._config.version)
+        )
+
+    async def _pass_on(self, run: runs.Run) -> None:
+        start = run.start
+        incarnation = self.backend.report.incarnation
+        self._log.write(
+            "attempt_passed_on",
+            request=start.request_id,
+            attempt=start.attempt,
+            target=start.target,
+        )
+        try:
+            if self._is_engine():
+                end = await self._run_engine(run)
+            else:
+                end = await self._run_call(run)
+        except interfaces.BackendUnreachable as exc:
+            await self.backend.poll()
+            raise admission.Refusal(admission.Reason.UNREACHABLE, str(exc)) from exc
+        except interfaces.BackendError as exc:
+            end = self._end(run, message.Outcome.ERROR, str(exc))
+        except runs.ReaderStalled:
+            end = self._end(run, message.Outcome.PAUSED, "the reader did not read")
+        except TimeoutError:
+            end = self._end(run, message.Outcome.STALLED, STALLED)
+        except interfaces.BackendLost as exc:
+            end = await self._judge_loss(run, incarnation, exc)
+        self._close(run, end)
+
+    def _close(self, run: runs.Run, end: message.End) -> None:
+        start = run.start
+        if end.outcome == message.Outcome.DONE:
+            self._bill(run, end)
+            if self._strikes.clear(start.fingerprint):
+                self.news.append(message.Strikes(cleared=(start.fingerprint,)))
+        self._log.write(
+            "attempt_ended",
+            request=start.request_id,
+            attempt=start.attempt,
+            target=start.target,
+            outcome=end.outcome,
+            tokens=end.tokens,
+            detail=end.detail,
+        )
+        run.finish(end)
+
+    def _bill(self, run: runs.Run, end: message.End) -> None:
+        start = run.start
+        bill = message.Bill(
+            start.billing_key,
+            start.request_id,
+            start.attempt,
+            start.organisation,
+            start.target,
+            end.prompt_tokens,
+            end.tokens,
+        )
+        self.bills[start.attempt] = bill
+        self.bill_owners[start.attempt] = run.owner
+
+    async def _judge_loss(
+        self, run: runs.Run, incarnation: str, exc: interfaces.BackendLost
+    ) -> message.End:
+        if not await self.backend.has_fallen(incarnation):
+            return self._end(run, message.Outcome.STALLED, str(exc))
+        self._meter.count(metrics.Metrics.ENGINE_FELL)
+        fall = f"{self._cfg.name}/{incarnation}"
+        strike = message.Strike(run.start.fingerprint, fall)
+        new = self._strikes.add([strike], asyncio.get_running_loop().time())
+        if new:
+            self.news.append(message.Strikes(strikes=new))
+        return self._end(run, message.Outcome.FELL, str(exc))
+
+    def _end(
+        self, run: runs.Run, outcome: str, detail: str = "", prompt_tokens: int = 0, tokens: int = 0
+    ) -> message.End:
+        return message.End(
+            run.start.attempt,
+            run.offset,
+            outcome,
+            prompt_tokens=prompt_tokens,
+            tokens=tokens,
+            detail=detail,
+        )
+
+    async def _run_engine(self, run: runs.Run) -> message.End:
+        engine: interfaces.Engine = self.backend.server  # type: ignore[assignment]
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        events = engine.run(run.start)
+        try:
+            while True:
+                async with asyncio.timeout(self._cfg.stall_seconds):
+                    item = await anext(events)
+                if isinstance(item, interfaces.Piece):
+                    if run.offset == 0:
+                        self.warmth.note_first_token(loop.time() - began)
+                    await run.put(item.choices, READER_PATIENCE_SECONDS)
+                elif isinstance(item, interfaces.Finished):
+                    return self._end(run, message.Outcome.DONE, "", item.prompt_tokens, item.tokens)
+        finally:
+            await _close_events(events)
+
+    async def _run_call(self, run: runs.Run) -> message.End:
+        server: interfaces.PlainServer = self.backend.server  # type: ignore[assignment]
+        start = run.start
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.timeout(start.timeout_ms / 1000.0):
+            answer = await server.call(start, MAX_ANSWER_BYTES)
+        self.warmth.note_first_token(loop.time() - began)
+        for position in range(0, len(answer.body), CALL_PIECE_BYTES):
+            piece = answer.body[position : position + CALL_PIECE_BYTES]
+            await run.put(piece, READER_PATIENCE_SECONDS)
+        end = self._end(run, message.Outcome.DONE)
+        return end._replace(status=answer.status, headers=answer.headers)
+
+
+async def _close_events(events: AsyncIterator[object]) -> None:
+    close = getattr(events, "aclose", None)
+    if close is not None:
+        await close()
--- /dev/null
+++ b/berylrock/daemons/stopping.py
@@ -0,0 +1,39 @@
+"""Turns SIGTERM into a graceful shutdown; a second signal ends the wait for running requests."""
+
+import asyncio
+import signal
+
+from berylrock.core import eventlog
+
+__all__ = ["Stop"]
+
+
+class Stop:
+    """Whether the process has been told to stop.
+
+    Attributes:
+      requested: A first signal has come.
+      forced: A second signal has come.
+    """
+
+    def __init__(self, log: eventlog.EventLog) -> None:
+        self.requested = False
+        self.forced = False
+        self._log = log
+        self._event = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._signalled)
+
+    def _signalled(self) -> None:
+        if self.requested:
+            self.forced = True
+            self._log.write("stop_forced")
+        else:
+            self.requested = True
+            self._log.write("stop_requested")
+        self._event.set()
+
+    async def wait(self) -> None:
+        """Wait for the first signal."""
+        await self._event.wait()
--- /dev/null
+++ b/berylrock/loader/__init__.py
@@ -0,0 +1,1 @@
+"""Reading and checking what operators write."""
--- /dev/null
+++ b/berylrock/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: which version, which server, what to admit, what to repeat."""
--- /dev/null
+++ b/berylrock/ops/explaining.py
@@ -0,0 +1,96 @@
+"""Says in plain words what the fleet's state is and what became of a request."""
+
+from typing import Any
+
+from berylrock.core import eventlog
+
+__all__ = ["describe_status", "explain_request"]
+
+
+def _describe_entry(row: dict[str, Any]) -> str:
+    controller = " holds the lease" if row["controller"]["held"] else ""
+    return (
+        f"{row['process']:<14} {row['zone']:<12} config {row['config_version']:<5}"
+        f" active {row['active']:<4} unstored bills {row['unstored_bills']}{controller}"
+    )
+
+
+def _describe_sidecar(row: dict[str, Any]) -> str:
+    report = row["report"]
+    marks = [name for name in ("cold", "leaving") if report[name]]
+    if not report["reachable"]:
+        marks.append("down")
+    return (
+        f"{row['process']:<14} {row['zone']:<12} config {row['config_version']:<5}"
+        f" running {report['running']:<3} queued {report['queued']:<3}"
+        f" tokens {report['held_tokens']}/{report['capacity_tokens']} {' '.join(marks)}"
+    )
+
+
+def describe_status(rows: dict[str, dict[str, Any] | None]) -> list[str]:
+    """Describe the fleet on one screen.
+
+    Args:
+      rows: The status page of each process by URL; None where there was no answer.
+
+    Returns:
+      Lines of text.
+    """
+    found = [row for row in rows.values() if row]
+    newest = max([row["config_version"] for row in found], default=0)
+    lines = [f"config version {newest} is the newest in force"]
+    for row in sorted(found, key=lambda item: (item["role"], item["process"])):
+        text = _describe_entry(row) if row["role"] == "entry" else _describe_sidecar(row)
+        lag = "  LAGS" if row["config_version"] < newest else ""
+        lines.append(text + lag)
+    lines.extend(f"no answer: {url}" for url, row in rows.items() if not row)
+    entries = [row for row in found if row["role"] == "entry"]
+    if entries:
+        best = max(entries, key=lambda item: item["fleet_version"])
+        for version, evidence in best["bad_versions"].items():
+            lines.append(f"bad version {version}: {evidence}")
+        for version, percent in best["progress"].items():
+            lines.append(f"roll-out of {version} has reached {percent:g} %")
+        lines.extend(f"quarantined request {item}" for item in best["quarantined"])
+    return lines
+
+
+def _explain_event(event: eventlog.Event) -> str:
+    facts = event.fields
+    sentences = {
+        "attempt_sent": "{process} sent it to {server} in {zone}, for {target}",
+        "attempt_passed_on": "{process} passed it on to its backend server",
+        "attempt_refused": "{process} handed it back as not run: {reason}, {detail}",
+        "attempt_ended": "{process} saw it end: {outcome}, {tokens} tokens {detail}",
+        "attempt_failed": "{process} could not use that attempt: {detail}",
+        "attempt_reattached": "{process} took it up again at piece {offset} on a new connection",
+        "request_answered": "{process} answered it from {target} after {seconds} s",
+        "request_refused": "{process} told the caller {outcome}: {reason}, {detail}",
+        "answer_cut": "{process} told the caller that the answer is not whole: {detail}",
+        "caller_left": "the caller of {process} went away",
+        "version_chosen": "{process} chose {target}: {why}",
+        "claim_settled": "{process} stored its outcome: {state}",
+    }
+    sentence = sentences.get(event.name)
+    if sentence is None:
+        return f"{event.process}: {event.name} {facts}"
+    try:
+        return sentence.format(process=event.process, **facts).rstrip()
+    except KeyError:
+        return f"{event.process}: {event.name} {facts}"
+
+
+def explain_request(request: str, events: list[eventlog.Event]) -> list[str]:
+    """Tell what became of a request.
+
+    Args:
+      request: Its id.
+      events: Its events in order.
+
+    Returns:
+      Lines of text.
+    """
+    if not events:
+        return [f"no process remembers request {request}; it may be too long ago"]
+    start = events[0].time
+    return [f"+{event.time - start:7.3f} s  {_explain_event(event)}" for event in events]
--- /dev/null
+++ b/berylrock/ops/sessions.py
@@ -0,0 +1,129 @@
+"""Keeps a session on its version, at every entry process and through a growing roll-out.
+
+A caller that returns the signed token it was given needs no shared state at all. For one that
+sends a bare session name, the version is stored by conditional create when the session begins.
+"""
+
+import base64
+import hashlib
+import hmac
+from collections.abc import Callable
+
+import msgspec
+
+from berylrock.adapters import interfaces
+from berylrock.core import data, errors
+
+__all__ = ["SessionTable", "bucket", "read_token", "sign_token"]
+
+OBJECT_KIND = "sessions"
+MAX_CACHED = 50_000
+SEPARATOR = "~"
+MAC_BYTES = 12
+BUCKETS = 10_000
+STORE_TRIES = 4
+
+
+class _Pin(msgspec.Struct):
+    version: str
+
+
+def bucket(text: str) -> float:
+    """Map a session or request to a stable place in a roll-out, 0 to 100."""
+    digest = hashlib.sha256(text.encode()).digest()
+    return int.from_bytes(digest[:4], "big") % BUCKETS * 100.0 / BUCKETS
+
+
+def _mac(secret: str, organisation: str, session: str, version: str) -> str:
+    text = "\0".join((organisation, session, version)).encode()
+    digest = hmac.new(secret.encode(), text, hashlib.sha256).digest()
+    return base64.urlsafe_b64encode(digest[:MAC_BYTES]).decode()
+
+
+def sign_token(secret: str, organisation: str, session: str, version: data.VersionId) -> str:
+    """Make the token that pins a session to a version."""
+    text = str(version)
+    return SEPARATOR.join((session, text, _mac(secret, organisation, session, text)))
+
+
+def read_token(secret: str, organisation: str, token: str) -> tuple[str, data.VersionId | None]:
+    """Read a session header.
+
+    Args:
+      secret: The secret shared by all processes of the system.
+      organisation: Whose session it is.
+      token: A token, or a bare session name.
+
+    Returns:
+      The session's name, and its version if the token is genuine.
+    """
+    session, _, rest = token.partition(SEPARATOR)
+    text, _, mac = rest.rpartition(SEPARATOR)
+    if not text or not hmac.compare_digest(mac, _mac(secret, organisation, session, text)):
+        return session, None
+    return session, data.parse_version_id(text)
+
+
+class SessionTable:
+    """The versions of sessions that come without a token, stored and cached."""
+
+    def __init__(self, objects: interfaces.Objects) -> None:
+        self._objects = objects
+        self._cache: dict[str, str] = {}
+
+    async def pin(
+        self,
+        organisation: str,
+        session: str,
+        wanted: data.VersionId,
+        is_usable: Callable[[data.VersionId], bool],
+    ) -> data.VersionId:
+        """Give a session the version it has, or a wanted one if it has none that can be used.
+
+        Args:
+          organisation: Whose session it is.
+          session: The session's name.
+          wanted: The version it gets otherwise.
+          is_usable: Tells whether a version may still be used.
+
+        Returns:
+          The session's version. While the object API is out, a new session gets the wanted one.
+        """
+        name = hashlib.sha256(f"{organisation}\0{session}".encode()).hexdigest()
+        cached = data.parse_version_id(self._cache.get(name, ""))
+        if cached is not None and is_usable(cached):
+            return cached
+        try:
+            version = await self._store(name, wanted, is_usable)
+        except errors.StoreUnavailable:
+            version = wanted
+        self._remember(name, str(version))
+        return version
+
+    async def _store(
+        self, name: str, wanted: data.VersionId, is_usable: Callable[[data.VersionId], bool]
+    ) -> data.VersionId:
+        body = msgspec.json.encode(_Pin(str(wanted)))
+        condition = 0
+        for _ in range(STORE_TRIES):
+            try:
+                await self._objects.put(OBJECT_KIND, name, body, condition)
+                return wanted
+            except errors.Conflict:
+                pass
+            try:
+                stored = await self._objects.get(OBJECT_KIND, name)
+            except errors.NotFound:
+                condition = 0
+                continue
+            pin = msgspec.json.decode(stored.body, type=_Pin)
+            found = data.parse_version_id(pin.version)
+            if found is not None and is_usable(found):
+                return found
+            condition = stored.version
+        return wanted
+
+    def _remember(self, name: str, version: str) -> None:
+        self._cache[name] = version
+        if len(self._cache) > MAX_CACHED:
+            del self._cache[next(iter(self._cache))]
--- /dev/null
+++ b/berylrock/ops/verdicts.py
@@ -0,0 +1,86 @@
+"""Finds a version that turned bad while serving, by a cumulative sum over ratings and errors.
+
+Each rating adds how far it falls short of what the document expects, less half the drop that
+matters; the sum never goes below zero. It crosses the threshold soon after a real drop, however
+long the version was good before.
+"""
+
+from berylrock.core import data
+
+__all__ = ["Verdict", "VersionHealth", "expected_quality", "find_version"]
+
+MATTERING_DROP = 0.2
+RATING_THRESHOLD = 2.5
+EXPECTED_ERROR_SHARE = 0.05
+MATTERING_ERROR_SHARE = 0.5
+ERROR_THRESHOLD = 3.0
+
+
+class VersionHealth:
+    """The evidence against one version.
+
+    Attributes:
+      ratings: Ratings seen.
+      rating_sum: Evidence that its ratings dropped.
+      error_sum: Evidence that it fails.
+    """
+
+    def __init__(self) -> None:
+        self.ratings = 0
+        self.rating_sum = 0.0
+        self.error_sum = 0.0
+
+    def note_rating(self, rating: float, expected: float) -> None:
+        """Take a rating, and what the document expects for its kind of request."""
+        self.ratings += 1
+        shortfall = expected - rating - MATTERING_DROP / 2
+        self.rating_sum = max(0.0, self.rating_sum + shortfall)
+
+    def note_result(self, failed: bool) -> None:
+        """Take whether an answer of this version ended in an error."""
+        middle = (EXPECTED_ERROR_SHARE + MATTERING_ERROR_SHARE) / 2
+        self.error_sum = max(0.0, self.error_sum + (1.0 if failed else 0.0) - middle)
+
+    def describe(self) -> str:
+        """The evidence if the version is bad, or an empty text."""
+        if self.rating_sum >= RATING_THRESHOLD:
+            return f"ratings fell short: sum {self.rating_sum:.2f} after {self.ratings} ratings"
+        if self.error_sum >= ERROR_THRESHOLD:
+            return f"answers failed: sum {self.error_sum:.2f}"
+        return ""
+
+
+class Verdict:
+    """The evidence by version, as one process knows it."""
+
+    def __init__(self) -> None:
+        self._health: dict[str, VersionHealth] = {}
+
+    def find(self, version_id: str) -> VersionHealth:
+        """The evidence for a version."""
+        return self._health.setdefault(version_id, VersionHealth())
+
+    def note_rating(self, doc: data.Document, version_id: str, kind: str, rating: float) -> None:
+        """Take a rating of an answer; ignores versions that are no longer listed."""
+        found = find_version(doc, version_id)
+        if found is not None:
+            self.find(version_id).note_rating(rating, expected_quality(found, kind))
+
+    def bad(self) -> dict[str, str]:
+        """The versions found bad, and the evidence."""
+        found = {name: health.describe() for name, health in self._health.items()}
+        return {name: text for name, text in found.items() if text}
+
+
+def find_version(doc: data.Document, version_id: str) -> data.Version | None:
+    """Find a version in a document by its ``model@version``."""
+    for model in doc.models:
+        for version in model.versions:
+            if f"{model.name}@{version.name}" == version_id:
+                return version
+    return None
+
+
+def expected_quality(version: data.Version, kind: str) -> float:
+    """The rating that the document expects of a version for a kind of request."""
+    return version.quality.get(kind, version.quality[data.DEFAULT_KIND])
--- /dev/null
+++ b/berylrock/plugins/always_best.py
@@ -0,0 +1,15 @@
+"""Prefers the version with the highest expected rating, whatever it costs: a baseline."""
+
+from berylrock.plugins import registry
+
+__all__ = ["rank"]
+
+
+def rank(
+    candidates: tuple[registry.Candidate, ...], wish: registry.Wish
+) -> tuple[registry.Candidate, ...]:
+    """Order by rating, the best first."""
+    return tuple(sorted(candidates, key=lambda item: (-item.quality, item.version_id)))
+
+
+__plugins__ = (registry.Plugin("always_best", rank),)
--- /dev/null
+++ b/berylrock/scripts/configure.py
@@ -0,0 +1,287 @@
+"""Subcommands that check, change and promote the configuration document."""
+
+import argparse
+import asyncio
+import difflib
+import functools
+import hashlib
+import json
+import pathlib
+import secrets
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from berylrock.adapters import interfaces, platform
+from berylrock.core import data, errors, metrics
+from berylrock.loader import document, editing, settings
+from berylrock.ops import configuration, publishing
+
+__all__ = ["add_commands"]
+
+EXIT_BAD_DOCUMENT = 2
+EXIT_DIFFERENT = 1
+DEFAULT_DEADLINE_SECONDS = 30.0
+
+Edit = Callable[[str, data.Document], str]
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--settings", required=True, help="file with the operators' settings")
+    parser.add_argument("--json", action="store_true", help="print JSON for programs")
+    parser.add_argument(
+        "--deadline",
+        type=float,
+        default=DEFAULT_DEADLINE_SECONDS,
+        metavar="SECONDS",
+        help="longest wait for the platform (default: %(default)s)",
+    )
+
+
+def add_commands(commands: Any) -> None:
+    """Add the subcommands to the command line."""
+    check = commands.add_parser("check", help="check a document and print all its errors")
+    check.add_argument("document", help="file of JSON with comments")
+    check.add_argument("--json", action="store_true", help="print JSON for programs")
+    check.set_defaults(run=_check)
+
+    diff = commands.add_parser("diff", help="show how a document differs from that in force")
+    diff.add_argument("document", help="file of JSON with comments")
+    _add_common(diff)
+    diff.set_defaults(run=_diff)
+
+    apply_ = commands.add_parser(
+        "apply",
+        help="put a document in force",
+        description="Puts a document in force, unless it has errors or another operator changed "
+        "the one in force since it was read.",
+    )
+    apply_.add_argument("document", help="file of JSON with comments")
+    apply_.add_argument(
+        "--if-version", type=int, help="refuse unless this version is in force (see status)"
+    )
+    _add_common(apply_)
+    apply_.set_defaults(run=_apply)
+
+    promote = commands.add_parser(
+        "promote",
+        help="put the trial environment's document in force in production, unchanged",
+        description="Copies the same bytes. Refused if production moved on from --if-version.",
+    )
+    promote.add_argument("--if-version", type=int, help="version that production must still have")
+    _add_common(promote)
+    promote.set_defaults(run=_promote)
+
+    zone = commands.add_parser("zone", help="take an availability zone out, or in again")
+    zone.add_argument("action", choices=("out", "in"))
+    zone.add_argument("zone")
+    _add_common(zone)
+    zone.set_defaults(run=_zone)
+
+    withdraw = commands.add_parser("withdraw", help="give a version no new work")
+    withdraw.add_argument("version", metavar="MODEL@VERSION")
+    _add_common(withdraw)
+    withdraw.set_defaults(run=_withdraw)
+
+    rollout = commands.add_parser("rollout", help="start, pause, resume or abort a roll-out")
+    rollout.add_argument("action", choices=("start", "pause", "resume", "abort"))
+    rollout.add_argument("model")
+    rollout.add_argument("--old", help="version that serves today (start)")
+    rollout.add_argument("--new", help="version to roll out (start)")
+    rollout.add_argument("--percent", type=float, default=100.0, help="share to grow to (start)")
+    rollout.add_argument("--step-percent", type=float, default=10.0)
+    rollout.add_argument("--step-seconds", type=float, default=60.0)
+    _add_common(rollout)
+    rollout.set_defaults(run=_rollout)
+
+    key = commands.add_parser("key", help="make a caller key and its digest for the document")
+    key.set_defaults(run=_key)
+
+
+def _objects(where: settings.PlatformSettings) -> interfaces.Objects:
+    return platform.HttpObjects(where.objects_url, metrics.Metrics("", "operator"))
+
+
+def _load_settings(args: argparse.Namespace) -> settings.OperatorSettings:
+    return settings.load(args.settings, settings.OperatorSettings)
+
+
+def _run(args: argparse.Namespace, work: Coroutine[Any, Any, int]) -> int:
+    async def main() -> int:
+        try:
+            async with asyncio.timeout(args.deadline):
+                return await work
+        except TimeoutError as exc:
+            raise errors.StoreUnavailable(
+                f"no answer within {args.deadline:g} s; see status before trying again"
+            ) from exc
+
+    return asyncio.run(main())
+
+
+def _print_errors(found: list[errors.InputError], as_json: bool) -> int:
+    if as_json:
+        print(json.dumps({"errors": [item._asdict() for item in found]}))
+    else:
+        for item in found:
+            print(item, file=sys.stderr)
+    return EXIT_BAD_DOCUMENT
+
+
+def _read_file(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"cannot read {path}: {exc}; name a UTF-8 text file") from exc
+
+
+def _check(args: argparse.Namespace) -> int:
+    doc, found = document.load(_read_file(args.document), args.document)
+    if doc is None:
+        return _print_errors(found, args.json)
+    print('{"errors": []}' if args.json else f"{args.document}: sound")
+    return 0
+
+
+def _diff(args: argparse.Namespace) -> int:
+    cfg = _load_settings(args)
+    new = _read_file(args.document)
+
+    async def work() -> int:
+        stored = await publishing.read(_objects(cfg.platform), cfg.platform.environment, _progress)
+        old = stored.body.decode()
+        label = f"in force (version {stored.version})"
+        lines = list(
+            difflib.unified_diff(
+                old.splitlines(), new.splitlines(), label, args.document, "", "", 3, ""
+            )
+        )
+        if args.json:
+            print(json.dumps({"version": stored.version, "diff": lines}))
+        else:
+            print("\n".join(lines) or "no difference")
+        return EXIT_DIFFERENT if lines else 0
+
+    return _run(args, work())
+
+
+def _progress(text: str) -> None:
+    print(text, file=sys.stderr)
+
+
+def _report(args: argparse.Namespace, done: publishing.Published) -> int:
+    if args.json:
+        print(json.dumps(done._asdict()))
+    else:
+        note = " (its first answer was lost; it is in force all the same)" if done.settled else ""
+        print(f"version {done.version} is accepted{note}")
+    return 0
+
+
+def _publish(
+    args: argparse.Namespace, text: str, where: settings.PlatformSettings, if_version: int
+) -> Coroutine[Any, Any, publishing.Published]:
+    del args
+    return publishing.publish(
+        _objects(where), where.environment, text.encode(), if_version, _progress
+    )
+
+
+def _apply(args: argparse.Namespace) -> int:
+    cfg = _load_settings(args)
+    text = _read_file(args.document)
+    doc, found = document.load(text, args.document)
+    if doc is None:
+        return _print_errors(found, args.json)
+
+    async def work() -> int:
+        version = args.if_version
+        if version is None:
+            version = await publishing.read_version(
+                _objects(cfg.platform), cfg.platform.environment, _progress
+            )
+        return _report(args, await _publish(args, text, cfg.platform, version))
+
+    return _run(args, work())
+
+
+def _promote(args: argparse.Namespace) -> int:
+    cfg = _load_settings(args)
+    if cfg.trial is None:
+        raise errors.SettingsError("settings name no trial environment; add the key trial")
+    trial = cfg.trial
+
+    async def work() -> int:
+        tried = await publishing.read(_objects(trial), trial.environment, _progress)
+        doc, found = document.load(tried.body.decode(), "trial")
+        if doc is None:
+            return _print_errors(found, args.json)
+        version = args.if_version
+        if version is None:
+            version = await publishing.read_version(
+                _objects(cfg.platform), cfg.platform.environment, _progress
+            )
+        text = tried.body.decode()
+        return _report(args, await _publish(args, text, cfg.platform, version))
+
+    return _run(args, work())
+
+
+def _edit(args: argparse.Namespace, edit: Edit) -> int:
+    """Change the document in force; loses against another operator's change."""
+    cfg = _load_settings(args)
+
+    async def work() -> int:
+        objects = _objects(cfg.platform)
+        name = cfg.platform.environment
+        stored = await publishing.read(objects, name, _progress)
+        text = stored.body.decode()
+        doc, found = document.load(text, configuration.OBJECT_KIND)
+        if doc is None:
+            return _print_errors(found, args.json)
+        try:
+            changed = edit(text, doc)
+        except KeyError as exc:
+            raise errors.SettingsError(str(exc.args[0])) from exc
+        doc, found = document.load(changed, configuration.OBJECT_KIND)
+        if doc is None:
+            return _print_errors(found, args.json)
+        return _report(args, await _publish(args, changed, cfg.platform, stored.version))
+
+    return _run(args, work())
+
+
+def _zone(args: argparse.Namespace) -> int:
+    return _edit(
+        args, lambda text, doc: editing.set_zone(text, doc, args.zone, args.action == "in")
+    )
+
+
+def _withdraw(args: argparse.Namespace) -> int:
+    return _edit(args, lambda text, doc: editing.add_withdrawal(text, doc, args.version))
+
+
+def _rollout(args: argparse.Namespace) -> int:
+    return _edit(args, functools.partial(_edit_rollout, args))
+
+
+def _edit_rollout(args: argparse.Namespace, text: str, doc: data.Document) -> str:
+    if args.action == "start":
+        if not (args.old and args.new):
+            raise KeyError("start needs --old and --new")
+        rollout = data.Rollout(
+            args.model, args.old, args.new, args.percent, args.step_percent, args.step_seconds
+        )
+        return editing.set_rollout(text, doc, rollout)
+    found = [item for item in doc.rollouts if item.model == args.model]
+    if not found:
+        raise KeyError(f"{args.model!r} has no roll-out; start one first")
+    states: dict[str, Any] = {"pause": "paused", "resume": "running", "abort": "aborted"}
+    return editing.set_rollout(text, doc, found[0]._replace(state=states[args.action]))
+
+
+def _key(_args: argparse.Namespace) -> int:
+    key = secrets.token_urlsafe(32)
+    print(f"key:    {key}")
+    print(f"sha256: {hashlib.sha256(key.encode()).hexdigest()}")
+    return 0
--- /dev/null
+++ b/berylrock/scripts/daemons.py
@@ -0,0 +1,62 @@
+"""Subcommands that run a process until it is told to stop."""
+
+import argparse
+from typing import Any
+
+from berylrock.daemons.entry import process as entry_process
+from berylrock.daemons.sidecar import process as sidecar_process
+from berylrock.loader import settings
+from berylrock.standins import engine, path, platform, service
+
+__all__ = ["add_commands"]
+
+STAND_INS: dict[str, tuple[Any, Any]] = {
+    "engine": (engine.EngineOptions, engine.run),
+    "service": (service.ServiceOptions, service.run),
+    "platform": (platform.PlatformOptions, platform.run),
+    "path": (path.PathOptions, path.run),
+}
+
+
+def add_commands(commands: Any) -> None:
+    """Add the subcommands to the command line."""
+    entry = commands.add_parser(
+        "entry",
+        help="run an entry process",
+        description="Runs the process of an entry VM. SIGTERM stops it gracefully; a second one "
+        "ends the wait for running requests.",
+    )
+    entry.add_argument("settings", help="file of JSON with comments; see docs/SETTINGS.md")
+    entry.set_defaults(run=_run_entry)
+    sidecar = commands.add_parser(
+        "sidecar",
+        help="run the process beside a backend server",
+        description="Runs the process in the slot of a backend server VM. SIGTERM lets running "
+        "requests finish and hands waiting ones back as not run.",
+    )
+    sidecar.add_argument("settings", help="file of JSON with comments; see docs/SETTINGS.md")
+    sidecar.set_defaults(run=_run_sidecar)
+    standin = commands.add_parser(
+        "standin",
+        help="run a stand-in for an outside system, for tests",
+        description="Runs a small stand-in on a loopback address.",
+    )
+    standin.add_argument("kind", choices=sorted(STAND_INS))
+    standin.add_argument("options", help="file of JSON with the stand-in's options")
+    standin.set_defaults(run=_run_standin)
+
+
+def _run_entry(args: argparse.Namespace) -> int:
+    entry_process.run(settings.load(args.settings, settings.EntrySettings))
+    return 0
+
+
+def _run_sidecar(args: argparse.Namespace) -> int:
+    sidecar_process.run(settings.load(args.settings, settings.SidecarSettings))
+    return 0
+
+
+def _run_standin(args: argparse.Namespace) -> int:
+    shape, run = STAND_INS[args.kind]
+    run(settings.load(args.options, shape))
+    return 0
--- /dev/null
+++ b/berylrock/scripts/demo.py
@@ -0,0 +1,119 @@
+"""The demo: a whole deployment, a hundred mixed requests, a killed sidecar, a withdrawn version.
+
+It ends with a line judged from the stand-ins' own record, then shows the time line.
+"""
+
+import asyncio
+import concurrent.futures
+import json
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+from berylrock.adapters import platform
+from berylrock.core import metrics
+from berylrock.loader import settings
+from berylrock.ops import ledger, timeline
+from berylrock.scripts import inspect
+from berylrock.standins import caller, fleet, judging, record
+
+__all__ = ["main"]
+
+REQUESTS = 100
+CONCURRENCY = 24
+LONG_ANSWER_TOKENS = 60
+WITHDRAWN = "garzone@1"
+KILLED = "engine-2"
+BILLS_SECONDS = 15.0
+
+
+def _send(running: fleet.Fleet, index: int, gate: threading.Semaphore) -> tuple[caller.Result, str]:
+    entries = running.entries()
+    organisation = "infusion" if index % 2 else "agents"
+    sender = caller.Caller(
+        running.caller_url(entries[index % len(entries)]), f"ferrante-key-{organisation}"
+    )
+    name = f"demo-{index}"
+    gate.release()
+    if index % 4 == 0:
+        order = json.dumps({"lorry": index})
+        key = f"key-{index}"
+        return sender.call("gestionale", "POST", "/orders/dispatch", order, key, name), key
+    if index % 4 == 1:
+        return sender.call("gestionale", "GET", f"/stock/{index}", request_id=name), ""
+    tokens = LONG_ANSWER_TOKENS if index % 4 == 2 else 8
+    return sender.chat(f"dossier {index}", tokens, name), ""
+
+
+def _disturb(running: fleet.Fleet, gate: threading.Semaphore) -> None:
+    """Kill a sidecar and withdraw a version while requests are under way."""
+    for _ in range(REQUESTS // 3):
+        gate.acquire()
+    running.processes[KILLED].kill()
+    print(f"demo: killed the sidecar of {KILLED}")
+    text = running.text.rstrip()
+    changed = text.removesuffix("}").rstrip() + f',\n  "withdrawals": ["{WITHDRAWN}"]\n}}\n'
+    version = running.put_config(changed)
+    print(f"demo: withdrew {WITHDRAWN} in version {version}")
+    running.processes[KILLED].restart()
+
+
+def _read_bills(running: fleet.Fleet) -> list:
+    objects = platform.HttpObjects(running.platform_url, metrics.Metrics("", "demo"))
+    return list(asyncio.run(ledger.read_all(objects)).values())
+
+
+def _wait_bills(running: fleet.Fleet) -> None:
+    def stored() -> bool:
+        return all(running.status(name).get("unstored_bills") == 0 for name in running.entries())
+
+    running.wait(stored, "all bills to be stored", BILLS_SECONDS)
+
+
+def run(root: pathlib.Path) -> int:
+    """Run the demo in a folder; returns the exit code."""
+    options = fleet.FleetOptions("examples/ferrante.jsonc", root, engines=5, services=4)
+    with fleet.Fleet(options) as running:
+        print(f"demo: {len(running.processes)} processes are up, logs in {root}")
+        gate = threading.Semaphore(0)
+        disturber = threading.Thread(target=_disturb, args=(running, gate))
+        disturber.start()
+        began = time.monotonic()
+        with concurrent.futures.ThreadPoolExecutor(CONCURRENCY) as pool:
+            tasks = [pool.submit(_send, running, index, gate) for index in range(REQUESTS)]
+            results = [task.result() for task in tasks]
+        disturber.join()
+        print(f"demo: all ended after {time.monotonic() - began:.1f} s")
+        _wait_bills(running)
+        verdict = judging.judge(results, record.read(running.record), _read_bills(running))
+        cfg = settings.load(running.operator_settings(), settings.OperatorSettings)
+        events = timeline.merge(inspect.fetch_events(cfg))
+        code = _report(results, verdict)
+        inspect.print_events([event for event in events if "attempt" not in event.fields])
+        return code
+
+
+def _report(results: list[tuple[caller.Result, str]], verdict: judging.Verdict) -> int:
+    for breach in verdict.breaches:
+        print(f"demo: breach: {breach}")
+    others = verdict.unknown + verdict.broken
+    if others:
+        print(f"demo: {others} callers heard that the outcome is unknown or were cut off")
+    print(
+        f"demo: {len(results)} requests, {verdict.answered} answered, "
+        f"{verdict.not_run} refused as not run, {len(verdict.lost)} lost, "
+        f"{len(verdict.doubled)} doubled"
+    )
+    return 1 if verdict.breaches or verdict.broken else 0
+
+
+def main() -> None:
+    """Run the demo in a new folder."""
+    with tempfile.TemporaryDirectory(prefix="berylrock-demo-") as folder:
+        sys.exit(run(pathlib.Path(folder)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/berylrock/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, each with a record of its own of what it ran."""
--- /dev/null
+++ b/berylrock/standins/fleet.py
@@ -0,0 +1,404 @@
+"""Starts a whole deployment on loopback addresses: stand-ins, sidecars and entry processes.
+
+Each process gets an IP number of its own, so that several fleets can run at once. It is for the
+demo, the tests and the bench; the product itself starts no process.
+"""
+
+import contextlib
+import functools
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import urllib3
+
+from berylrock.core import data
+from berylrock.daemons import admin
+from berylrock.loader import document
+
+__all__ = ["Fleet", "FleetOptions", "FleetError", "OPERATOR_KEY", "Process"]
+
+OPERATOR_KEY = "operator-key"
+SECRET = "fleet-secret"
+CALLER_PORT, ADMIN_PORT, LINK_PORT, BACKEND_PORT, PLATFORM_PORT, PATH_PORT = (
+    8000,
+    8001,
+    8002,
+    8003,
+    8004,
+    8005,
+)
+START_SECONDS = 60.0
+STOP_SECONDS = 15.0
+POLL_SECONDS = 0.05
+
+
+class FleetError(Exception):
+    """The fleet did not come up or a wait ran out; the message says what was waited for."""
+
+
+class FleetOptions(NamedTuple):
+    """The shape of a fleet.
+
+    Attributes:
+      document: File of the configuration document.
+      root: Folder for settings, logs and records.
+      engines: Engines in the engine pool.
+      services: Servers of the plain service.
+      entries: Entry processes.
+      paths: Whether the connections to sidecars go through stand-in paths.
+      engine: Options of the stand-in engines.
+      service: Options of the stand-in services.
+      platform: Options of the stand-in platform.
+      entry: Settings of the entry processes.
+      sidecar: Settings of the sidecars.
+    """
+
+    document: str
+    root: pathlib.Path
+    engines: int
+    services: int
+    entries: int = 2
+    paths: bool = False
+    engine: dict[str, Any] = {}
+    service: dict[str, Any] = {}
+    platform: dict[str, Any] = {}
+    entry: dict[str, Any] = {}
+    sidecar: dict[str, Any] = {}
+
+
+class Process:
+    """One started process."""
+
+    def __init__(self, name: str, command: list[str], log: pathlib.Path, address: str) -> None:
+        self.name = name
+        self.command = command
+        self.log = log
+        self.address = address
+        self.popen = self._start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with self.log.open("ab") as file:
+            return subprocess.Popen(self.command, stdout=file, stderr=file)
+
+    def restart(self) -> None:
+        """Start it anew after it has ended."""
+        self.popen.wait()
+        self.popen = self._start()
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if it still runs."""
+        if self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+
+class Fleet:
+    """A running deployment.
+
+    Attributes:
+      processes: All processes by name.
+      servers: The rows of the VM list by server name.
+      doc: The configuration document.
+    """
+
+    def __init__(self, options: FleetOptions) -> None:
+        self.options = options
+        self.root = options.root
+        self.root.mkdir(parents=True, exist_ok=True)
+        self.text = pathlib.Path(options.document).read_text(encoding="utf-8")
+        doc, found = document.load(self.text, options.document)
+        if doc is None:
+            raise FleetError("\n".join(str(item) for item in found))
+        self.doc: data.Document = doc
+        self.processes: dict[str, Process] = {}
+        self.servers: dict[str, dict[str, Any]] = {}
+        self.record = str(self.root / "record.jsonl")
+        self._network = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
+        self._next_host = 1
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=32, num_pools=64)
+        self._config_version = 0
+
+    # Addresses and files
+
+    def _address(self) -> str:
+        self._next_host += 1
+        return f"{self._network}.{self._next_host}"
+
+    def _write(self, name: str, value: dict[str, Any]) -> str:
+        path = self.root / f"{name}.json"
+        path.write_text(json.dumps(value, indent=1), encoding="utf-8")
+        return str(path)
+
+    def _spawn(self, name: str, words: list[str], value: dict[str, Any], address: str) -> Process:
+        command = [sys.executable, "-m", "berylrock", *words, self._write(name, value)]
+        process = Process(name, command, self.root / f"{name}.log", address)
+        self.processes[name] = process
+        return process
+
+    # Starting
+
+    def start(self) -> None:
+        """Start everything, put the document in force, and wait until all are ready."""
+        self._platform_address = self._address()
+        self._start_platform()
+        zones = [zone.name for zone in self.doc.zones]
+        pools = {pool.kind: pool for pool in self.doc.pools}
+        for index in range(self.options.engines):
+            self.add_server(f"engine-{index + 1}", zones[index % len(zones)], pools["engine"])
+        for index in range(self.options.services):
+            self.add_server(f"service-{index + 1}", zones[index % len(zones)], pools["service"])
+        for index in range(self.options.entries):
+            self.add_entry(f"entry-{index + 1}", zones[index % len(zones)])
+        self.wait(lambda: self.answers(f"{self.platform_url}/counts"), "the platform stand-in")
+        self.put_config(self.text)
+        self.put_vms()
+        self.wait_ready()
+
+    def _start_platform(self) -> None:
+        quality = {
+            f"{model.name}@{version.name}": version.quality
+            for model in self.doc.models
+            for version in model.versions
+        }
+        options = {
+            "address": self._platform_address,
+            "port": PLATFORM_PORT,
+            "record": self.record,
+            "quality": quality,
+            **self.options.platform,
+        }
+        self._spawn("platform", ["standin", "platform"], options, self._platform_address)
+
+    def _platform_settings(self) -> dict[str, Any]:
+        return {
+            "objects_url": self.platform_url,
+            "vms_url": f"{self.platform_url}/vms",
+            "ratings_url": self.platform_url,
+            "environment": "production",
+        }
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform stand-in."""
+        return f"http://{self._platform_address}:{PLATFORM_PORT}"
+
+    def add_server(self, name: str, zone: str, pool: data.Pool) -> None:
+        """Start a backend server and its sidecar, and note it for the VM list."""
+        address = self._address()
+        common = {"name": name, "address": address, "port": BACKEND_PORT, "record": self.record}
+        if pool.kind == "engine":
+            loaded = [
+                f"{model.name}@{version.name}"
+                for model in self.doc.models
+                for version in model.versions
+            ]
+            options = {**common, "loaded": loaded, **self.options.engine}
+            self._spawn(f"{name}.backend", ["standin", "engine"], options, address)
+        else:
+            options = {**common, **self.options.service}
+            self._spawn(f"{name}.backend", ["standin", "service"], options, address)
+        self._start_sidecar(name, zone, pool, address)
+        port = LINK_PORT
+        if self.options.paths:
+            self._start_path(name, address)
+            port = PATH_PORT
+        self.servers[name] = {
+            "name": name,
+            "zone": zone,
+            "pool": pool.name,
+            "address": address,
+            "port": port,
+        }
+
+    def _start_sidecar(self, name: str, zone: str, pool: data.Pool, address: str) -> None:
+        cfg = {
+            "name": name,
+            "zone": zone,
+            "pool": pool.name,
+            "address": address,
+            "port": LINK_PORT,
+            "admin_port": ADMIN_PORT,
+            "secret": SECRET,
+            "operator_key_sha256": admin.digest_key(OPERATOR_KEY),
+            "backend_url": f"http://{address}:{BACKEND_PORT}",
+            "platform": self._platform_settings(),
+            **self.options.sidecar,
+        }
+        self._spawn(name, ["sidecar"], cfg, address)
+
+    def _start_path(self, name: str, address: str) -> None:
+        options = {
+            "address": address,
+            "port": PATH_PORT,
+            "control_port": PATH_PORT + 1,
+            "target_address": address,
+            "target_port": LINK_PORT,
+        }
+        self._spawn(f"{name}.path", ["standin", "path"], options, address)
+
+    def add_entry(self, name: str, zone: str) -> None:
+        """Start an entry process."""
+        address = self._address()
+        cfg = {
+            "name": name,
+            "zone": zone,
+            "address": address,
+            "port": CALLER_PORT,
+            "admin_port": ADMIN_PORT,
+            "secret": SECRET,
+            "operator_key_sha256": admin.digest_key(OPERATOR_KEY),
+            "platform": self._platform_settings(),
+            "readiness_seconds": 0.3,
+            "vms_seconds": 0.5,
+            **self.options.entry,
+        }
+        self._spawn(name, ["entry"], cfg, address)
+
+    def operator_settings(self) -> str:
+        """Write settings for the operators' commands; returns the file's name."""
+        value = {
+            "platform": self._platform_settings(),
+            "operator_key": OPERATOR_KEY,
+            "admin_urls": [self.admin_url(name) for name in (*self.entries(), *self.servers)],
+        }
+        return self._write("operator", value)
+
+    # What runs
+
+    def entries(self) -> list[str]:
+        """Names of the entry processes."""
+        return [name for name in self.processes if name.startswith("entry-")]
+
+    def caller_url(self, entry: str) -> str:
+        """Base URL for callers of an entry process."""
+        return f"http://{self.processes[entry].address}:{CALLER_PORT}"
+
+    def admin_url(self, name: str) -> str:
+        """Base URL of a process's admin port."""
+        return f"http://{self.processes[name].address}:{ADMIN_PORT}"
+
+    def backend_url(self, server: str) -> str:
+        """Base URL of a backend server."""
+        return f"http://{self.processes[server].address}:{BACKEND_PORT}"
+
+    # Talking to stand-ins
+
+    def post(self, url: str, value: dict[str, Any], method: str = "POST") -> bytes:
+        """Send JSON to a stand-in."""
+        return self._http.request(method, url, json=value).data
+
+    def answers(self, url: str, key: str = "") -> bool:
+        """Whether a URL answers 200."""
+        return self.fetch(url, key) is not None
+
+    def fetch(self, url: str, key: str = "") -> bytes | None:
+        """Read a URL; None if it does not answer 200."""
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        try:
+            resp = self._http.request("GET", url, headers=headers, timeout=2.0)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return resp.data if resp.status == 200 else None
+
+    def status(self, name: str) -> dict[str, Any]:
+        """A process's status page; empty if it does not answer."""
+        body = self.fetch(f"{self.admin_url(name)}/status", OPERATOR_KEY)
+        return json.loads(body) if body else {}
+
+    def control(self, server: str, **options: Any) -> None:
+        """Change a backend server's behaviour."""
+        self.post(f"{self.backend_url(server)}/control", options)
+
+    def path(self, server: str, **fault: Any) -> None:
+        """Give the path to a sidecar a fault."""
+        address = self.processes[server].address
+        self.post(f"http://{address}:{PATH_PORT + 1}/control", fault)
+
+    def faults(self, **faults: Any) -> None:
+        """Give the platform faults; none clears them."""
+        self.post(f"{self.platform_url}/faults", faults)
+
+    def put_vms(self) -> None:
+        """Publish the VM list."""
+        rows: Any = list(self.servers.values())
+        self.post(f"{self.platform_url}/vms", rows, "PUT")
+
+    def put_config(self, text: str) -> int:
+        """Store a document; returns its version."""
+        url = f"{self.platform_url}/objects/config/production"
+        resp = self._http.request("PUT", url, body=text.encode())
+        self._config_version = int(resp.headers["X-Version"])
+        self.text = text
+        return self._config_version
+
+    # Waiting
+
+    def wait(self, condition: Callable[[], Any], what: str, seconds: float = START_SECONDS) -> Any:
+        """Wait until a condition holds; returns its value.
+
+        Raises:
+          FleetError: It did not come to hold in time.
+        """
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            value = condition()
+            if value:
+                return value
+            time.sleep(POLL_SECONDS)
+        raise FleetError(f"waited {seconds:g} s in vain for {what}; see the logs in {self.root}")
+
+    def wait_ready(self) -> None:
+        """Wait until every process is ready and every entry process has every server."""
+        for name in (*self.servers, *self.entries()):
+            url = f"{self.admin_url(name)}/ready"
+            self.wait(functools.partial(self.answers, url), f"{name} to be ready")
+        for name in self.entries():
+            self.wait(functools.partial(self._sees_all, name), f"{name} to see all servers")
+
+    def _sees_all(self, entry: str) -> bool:
+        seen = self.status(entry).get("servers", {})
+        return all(
+            seen.get(name, {}).get("connected") and seen[name].get("reachable")
+            for name in self.servers
+        )
+
+    def wait_config(self, version: int, seconds: float, names: list[str] | None = None) -> None:
+        """Wait until a version of the document is in force in processes."""
+        for name in names or [*self.servers, *self.entries()]:
+            condition = functools.partial(self._has_config, name, version)
+            self.wait(condition, f"version {version} in force at {name}", seconds)
+
+    def _has_config(self, name: str, version: int) -> bool:
+        return self.status(name).get("config_version", 0) >= version
+
+    # Stopping
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.popen.wait()
+
+    def __enter__(self) -> "Fleet":
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.stop)
+            self.start()
+            stack.pop_all()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.stop()
--- /dev/null
+++ b/berylrock/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between an entry process and a sidecar."""
--- /dev/null
+++ b/features/path.feature
@@ -0,0 +1,15 @@
+Feature: The whole path
+  A request is served from end to end by separate processes.
+
+  Scenario Outline: Requests of all kinds are answered at <deployment>
+    Given the <deployment> deployment
+    When 6 chats of 8 tokens are sent
+    And 4 lookups are sent
+    And 4 orders are sent
+    Then all requests are answered
+    And the records agree
+
+    Examples:
+      | deployment |
+      | ferrante   |
+      | taurex     |
