--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,12 @@
 
 clean:
 	rm -rf $(VENV) .run
+
+bench: $(STAMP)
+	$(VENV)/bin/berylrock bench
+
+SEED ?= 1
+SECONDS ?= 30
+DEPLOYMENT ?= ferrante
+soak: $(STAMP)
+	$(VENV)/bin/python -m berylrock.scripts.soak --deployment $(DEPLOYMENT) --seed $(SEED) --seconds $(SECONDS)
--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -20,6 +21,7 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 REPORT_TIMEOUT_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 60.0
+RECEIVE_BUFFER_BYTES = 32_768
 DONE_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
 OVERLOADED = 503
@@ -41,8 +43,16 @@
 _decode_event = msgspec.json.Decoder(_Event).decode
 
 
+def _make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """Make a socket on which a server cannot run far ahead of a slow reader."""
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return sock
+
+
 def _session() -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    connector = aiohttp.TCPConnector(force_close=True, limit=0, socket_factory=_make_socket)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
     return aiohttp.ClientSession(
         connector=connector, timeout=timeout, auto_decompress=False, read_bufsize=16384
--- /dev/null
+++ b/berylrock/bench/deployments.py
@@ -0,0 +1,135 @@
+"""The deployments of the brief as the bench loads them: sizes, callers and kinds of request."""
+
+import random
+from typing import NamedTuple
+
+from berylrock.bench import load
+from berylrock.standins import fleet
+
+__all__ = ["DEPLOYMENTS", "Deployment", "Mix", "make_jobs"]
+
+
+class Mix(NamedTuple):
+    """One kind of caller and its share of the requests."""
+
+    organisation: str
+    kind: str
+    share: float
+    tokens: int
+
+
+class Deployment(NamedTuple):
+    """A deployment at its own size.
+
+    Attributes:
+      name: Its name, and that of its document in ``examples``.
+      engines: Engines in its pool.
+      services: Servers of its plain service.
+      service: Name of the plain service.
+      lookup: Path of a lookup.
+      chats_per_second: Chats at normal load.
+      lookups_per_second: Lookups at normal load.
+      mixes: Who asks for what.
+      rolled_model: The model whose roll-out is measured.
+      zone: The availability zone that goes out.
+    """
+
+    name: str
+    engines: int
+    services: int
+    service: str
+    lookup: str
+    chats_per_second: float
+    lookups_per_second: float
+    mixes: tuple[Mix, ...]
+    rolled_model: str
+    zone: str
+
+
+DEPLOYMENTS = {
+    "ferrante": Deployment(
+        "ferrante",
+        5,
+        4,
+        "gestionale",
+        "/stock/{}",
+        12.0,
+        12.0,
+        (
+            Mix("infusion", "recipe", 0.15, 80),
+            Mix("agents", "default", 0.35, 20),
+            Mix("cellar", "default", 0.25, 30),
+            Mix("orchard", "recipe", 0.15, 30),
+            Mix("export", "default", 0.10, 30),
+        ),
+        "garzone",
+        "catania-b",
+    ),
+    "taurex": Deployment(
+        "taurex",
+        9,
+        4,
+        "ledger-app",
+        "/bulls/{}",
+        16.0,
+        8.0,
+        (
+            Mix("hire-desk", "contract", 0.15, 80),
+            Mix("lineage", "lineage", 0.15, 30),
+            Mix("vet-tags", "default", 0.30, 15),
+            Mix("farms-north", "default", 0.30, 25),
+            Mix("audit", "default", 0.10, 30),
+        ),
+        "scrib",
+        "cluj-b",
+    ),
+}
+
+
+def make_jobs(
+    deployment: Deployment,
+    running: fleet.Fleet,
+    name: str,
+    seconds: float,
+    seed: int,
+    rate_factor: float = 1.0,
+) -> list[load.Job]:
+    """Draw the requests of a load.
+
+    Args:
+      deployment: The deployment.
+      running: Its fleet.
+      name: Prefix of the request ids, new for each load of a fleet.
+      seconds: How long requests arrive.
+      seed: Seed of the arrivals.
+      rate_factor: Multiple of normal load.
+
+    Returns:
+      The requests with their times.
+    """
+    rng = random.Random(f"{seed}-{name}")
+    urls = [running.caller_url(entry) for entry in running.entries()]
+    jobs = []
+    times = load.poisson_times(deployment.chats_per_second * rate_factor, seconds, rng)
+    weights = [mix.share for mix in deployment.mixes]
+    for index, at in enumerate(times):
+        mix = rng.choices(deployment.mixes, weights)[0]
+        key = f"{deployment.name}-key-{mix.organisation}"
+        jobs.append(
+            load.Job(
+                at,
+                rng.choice(urls),
+                key,
+                f"{name}-chat-{index}",
+                f"dossier {name} {index}",
+                mix.tokens,
+                kind=mix.kind,
+            )
+        )
+    key = f"{deployment.name}-key-{deployment.mixes[0].organisation}"
+    for index, at in enumerate(
+        load.poisson_times(deployment.lookups_per_second * rate_factor, seconds, rng)
+    ):
+        path = f"/services/{deployment.service}{deployment.lookup.format(index)}"
+        jobs.append(load.Job(at, rng.choice(urls), key, f"{name}-lookup-{index}", path=path))
+    return jobs
--- /dev/null
+++ b/berylrock/bench/load.py
@@ -0,0 +1,223 @@
+"""Sends many requests from one event loop and notes when each token came.
+
+Arrivals are open-loop: a request is sent at its time whether or not earlier ones have ended, so a
+slow system cannot hide its queue.
+"""
+
+import asyncio
+import json
+import random
+import socket
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple
+
+import aiohttp
+import urllib3
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Answered", "Job", "Load", "Times", "open_unread", "percentile_ms", "poisson_times"]
+
+LOWEST_US, HIGHEST_US, DIGITS = 1, 600_000_000, 3
+TIMEOUT_SECONDS = 300.0
+UNREAD_BUFFER_BYTES = 16_384
+
+
+class Job(NamedTuple):
+    """A request to send.
+
+    Attributes:
+      at: Time from the start of the load, in seconds.
+      url: Base URL of the entry process.
+      key: Caller key.
+      name: Request id.
+      prompt: Prompt of a chat; empty for a lookup.
+      tokens: Length of the answer.
+      path: Path of a lookup.
+      kind: Kind of request.
+      session: Session header.
+    """
+
+    at: float
+    url: str
+    key: str
+    name: str
+    prompt: str = ""
+    tokens: int = 0
+    path: str = ""
+    kind: str = "default"
+    session: str = ""
+
+
+class Answered(NamedTuple):
+    """How a request ended.
+
+    Attributes:
+      job: The request.
+      at: When it was sent, from the start of the load, in seconds.
+      outcome: The outcome header, or ``broken``.
+      version: The version that answered.
+      first_seconds: Time to the first token, or to the answer of a lookup.
+      seconds: Time to the end.
+      bad: Whether the answer carries the stand-in's mark of a bad version.
+    """
+
+    job: Job
+    at: float
+    outcome: str
+    version: str
+    first_seconds: float
+    seconds: float
+    bad: bool
+
+
+class Times:
+    """Histograms of one load, in microseconds."""
+
+    def __init__(self) -> None:
+        self.first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.gap = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.lookup = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+def percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    """A percentile in milliseconds."""
+    return histogram.get_value_at_percentile(percentile) / 1000.0
+
+
+class Load:
+    """A load under way.
+
+    Attributes:
+      times: When tokens came.
+      answered: How the requests ended.
+    """
+
+    def __init__(self) -> None:
+        self.times = Times()
+        self.answered: list[Answered] = []
+
+    async def run(self, jobs: list[Job], started: Callable[[], None] | None = None) -> None:
+        """Send all requests and wait for their ends."""
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            if started is not None:
+                started()
+            async with asyncio.TaskGroup() as group:
+                for job in sorted(jobs, key=lambda item: item.at):
+                    await asyncio.sleep(max(0.0, began + job.at - loop.time()))
+                    group.create_task(self._send(session, job, loop.time() - began))
+
+    async def _send(self, session: aiohttp.ClientSession, job: Job, at: float) -> None:
+        try:
+            if job.prompt:
+                await self._chat(session, job, at)
+            else:
+                await self._lookup(session, job, at)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self.answered.append(Answered(job, at, "broken", "", 0.0, 0.0, False))
+
+    def _headers(self, job: Job) -> dict[str, str]:
+        headers = {
+            "Authorization": f"Bearer {job.key}",
+            "X-Request-Id": job.name,
+            "X-Request-Kind": job.kind,
+        }
+        if job.session:
+            headers["X-Session"] = job.session
+        return headers
+
+    async def _lookup(self, session: aiohttp.ClientSession, job: Job, at: float) -> None:
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        async with session.get(job.url + job.path, headers=self._headers(job)) as resp:
+            await resp.read()
+            outcome = resp.headers.get("X-Berylrock-Outcome", "none")
+        seconds = loop.time() - sent
+        if outcome == "done":
+            self.times.lookup.record_value(int(seconds * 1e6))
+        self.answered.append(Answered(job, at, outcome, "", seconds, seconds, False))
+
+    async def _chat(self, session: aiohttp.ClientSession, job: Job, at: float) -> None:
+        loop = asyncio.get_running_loop()
+        body = {
+            "model": "auto",
+            "messages": [{"role": "user", "content": job.prompt}],
+            "max_tokens": job.tokens,
+            "stream": True,
+        }
+        sent = loop.time()
+        url = f"{job.url}/v1/chat/completions"
+        data = json.dumps(body).encode()
+        async with session.post(url, data=data, headers=self._headers(job)) as resp:
+            outcome = resp.headers.get("X-Berylrock-Outcome", "none")
+            version = resp.headers.get("X-Berylrock-Version", "")
+            first = last = 0.0
+            ended = bad = False
+            async for line in _lines(resp):
+                now = loop.time()
+                if line.startswith(b"data: [DONE]"):
+                    ended = True
+                    break
+                if b'"content"' not in line:
+                    continue
+                bad = bad or b"BAD" in line
+                if not first:
+                    first = now - sent
+                    self.times.first.record_value(int(first * 1e6))
+                else:
+                    self.times.gap.record_value(max(1, int((now - last) * 1e6)))
+                last = now
+        if outcome == "done" and not ended:
+            outcome = "broken"
+        self.answered.append(Answered(job, at, outcome, version, first, loop.time() - sent, bad))
+
+
+async def _lines(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    async for line in resp.content:
+        yield line
+
+
+def poisson_times(rate: float, seconds: float, rng: random.Random) -> list[float]:
+    """Times of arrivals at a rate per second."""
+    times = []
+    at = rng.expovariate(rate)
+    while at < seconds:
+        times.append(at)
+        at += rng.expovariate(rate)
+    return times
+
+
+async def open_unread(url: str, key: str, tokens: int) -> asyncio.StreamWriter:
+    """Ask for a long answer and read nothing of it.
+
+    Args:
+      url: Base URL of the entry process.
+      key: Caller key.
+      tokens: Length of the answer.
+
+    Returns:
+      The connection; close it to end.
+    """
+    target = urllib3.util.parse_url(url)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BUFFER_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (target.host, target.port))
+    _, writer = await asyncio.open_connection(sock=sock, limit=UNREAD_BUFFER_BYTES)
+    body = {
+        "model": "auto",
+        "messages": [{"role": "user", "content": "a long dossier"}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    data = json.dumps(body).encode()
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {target.host}\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    writer.write(head.encode() + data)
+    await writer.drain()
+    return writer
--- a/berylrock/core/message.py
+++ b/berylrock/core/message.py
@@ -75,6 +75,7 @@
       reachable: Whether the backend server answers.
       fence: The highest fencing number seen.
       entries: Entry processes connected to the sidecar.
+      slots: Requests that could start at once.
     """
 
     config_version: int = 0
@@ -88,6 +89,7 @@
     reachable: bool = False
     fence: int = 0
     entries: int = 0
+    slots: int = 0
 
 
 class Start(NamedTuple):
--- a/berylrock/core/metrics.py
+++ b/berylrock/core/metrics.py
@@ -21,6 +21,7 @@
     LINKS_LOST = "links_lost"
     ENGINE_FELL = "engine_fell"
     REFUSED = "refused"
+    PAUSED = "paused"
     STORE_CALLS = "store_calls"
     STORE_ERRORS = "store_errors"
     BILLS_STORED = "bills_stored"
--- a/berylrock/daemons/entry/callers.py
+++ b/berylrock/daemons/entry/callers.py
@@ -13,7 +13,7 @@
 __all__ = ["Callers"]
 
 HEARTBEAT_SECONDS = 5.0
-WRITE_BUFFER_BYTES = 16_384
+WRITE_BUFFER_BYTES = 8_192
 SUBMIT_TEXT_CHARS = 2000
 CLOSED_BY_CALLER = 499
 
@@ -165,7 +165,7 @@
     ) -> web.StreamResponse:
         pieces = [piece async for piece in run.pieces(self._deadline(parsed))]
         choices = models.add_pieces(pieces)
-        self._note_answer(parsed, run, began, pieces)
+        self._note_answer(parsed, run, began)
         body = {
             "id": parsed.caller.request_id,
             "object": "chat.completion",
@@ -192,7 +192,7 @@
             if req.transport is not None:
                 req.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
             self._ctx.kernel.meter.time(metrics.Metrics.FIRST_TOKEN, time.monotonic() - began)
-            await self._send_pieces(response, parsed, run, first, pieces, began)
+            await self._send_pieces(req, response, parsed, run, first, pieces, began)
         except ConnectionError as exc:
             # The caller went away; the run is stopped where it is.
             self._ctx.kernel.log.write(
@@ -204,6 +204,7 @@
 
     async def _send_pieces(
         self,
+        req: web.Request,
         response: web.StreamResponse,
         parsed: request.ModelRequest,
         run: models.ModelRun,
@@ -217,13 +218,10 @@
             {"id": request_id, "object": "chat.completion.chunk", "model": str(run.selected[0])}
         )
         prefix = b"data: " + head[:-1] + b',"choices":'
-        sent: list[bytes] = []
         piece = first
         try:
             while piece is not None:
-                await response.write(b"".join((prefix, piece, b"}\n\n")))
-                if len(sent) < SUBMIT_TEXT_CHARS:
-                    sent.append(piece)
+                await _write(req, response, b"".join((prefix, piece, b"}\n\n")))
                 piece = await anext(pieces, None)
         except outcome.Ended as exc:
             # The status line has gone out, so the error goes into the stream, without an end mark.
@@ -237,10 +235,10 @@
         usage = msgspec.json.encode(_usage(run))
         await response.write(b"".join((prefix, b'[],"usage":', usage, b"}\n\ndata: [DONE]\n\n")))
         await response.write_eof()
-        self._note_answer(parsed, run, began, sent)
+        self._note_answer(parsed, run, began)
 
     def _note_answer(
-        self, parsed: request.ModelRequest, run: models.ModelRun, began: float, pieces: list[bytes]
+        self, parsed: request.ModelRequest, run: models.ModelRun, began: float
     ) -> None:
         assert run.selected is not None
         caller = parsed.caller
@@ -253,11 +251,18 @@
             tokens=run.usage.tokens,
             seconds=round(time.monotonic() - began, 4),
         )
-        text = ""
-        for choice in models.add_pieces(pieces):
-            text += choice["message"].get("content") or ""
         version = str(run.selected.version_id)
-        self._submit(caller.request_id, version, parsed.kind, text[:SUBMIT_TEXT_CHARS])
+        self._submit(caller.request_id, version, parsed.kind, run.text[:SUBMIT_TEXT_CHARS])
+
+
+async def _write(req: web.Request, response: web.StreamResponse, data: bytes) -> None:
+    """Write a piece, and wait while the caller has not read what was written before.
+
+    The library itself waits only once in 64 KB, which is more than a reader may cost.
+    """
+    await response.write(data)
+    if req.transport is not None and req.transport.get_write_buffer_size() > WRITE_BUFFER_BYTES:
+        await response.drain()
 
 
 def _usage(run: models.ModelRun) -> dict[str, int]:
--- a/berylrock/daemons/entry/calls.py
+++ b/berylrock/daemons/entry/calls.py
@@ -14,6 +14,7 @@
 TOKEN_BYTES = 12
 FOLLOW_PAUSE_SECONDS = 0.2
 RECENT_SECONDS = 10.0
+KEY_REUSED = "this Idempotency-Key was used for another request; use a new one"
 
 
 class Answer(NamedTuple):
@@ -32,12 +33,19 @@
     replayed: bool = False
 
 
+class _Running(NamedTuple):
+    """A run of a call that runs at most once, under way in this process."""
+
+    task: asyncio.Task[Answer]
+    fingerprint: str
+
+
 class CallRunner:
     """Runs calls of plain services."""
 
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
-        self._running: dict[str, asyncio.Task[Answer]] = {}
+        self._running: dict[str, _Running] = {}
 
     @property
     def busy(self) -> bool:
@@ -99,7 +107,7 @@
             passed_on = True
             end, body = await _collect(placed)
             if isinstance(end, message.End) and end.outcome == message.Outcome.DONE:
-                self._bill(placed.attempt.start)
+                self._bill(placed)
                 placed.attempt.close()
                 return Answer(end.status, end.headers, body)
             placed.attempt.close()
@@ -127,16 +135,20 @@
             raise outcome.Unknown(502, "no_answer", f"{detail}; it may be sent again")
         ctx.kernel.meter.count(metrics.Metrics.RETRIES)
 
-    def _bill(self, start: message.Start) -> None:
+    def _bill(self, placed: placement.Placed) -> None:
+        start = placed.attempt.start
         bill = message.Bill(
             start.billing_key, start.request_id, start.attempt, start.organisation, start.target
         )
-        self._ctx.ledger.add(bill)
+        self._ctx.ledger.add(bill, placed.peer.holder)
 
     async def _run_once(self, req: request.CallRequest, deadline: float) -> Answer:
         key = req.caller.key or f"request:{req.caller.request_id}"
         name = claims.name_claim(req.caller.organisation.name, key)
-        task = self._running.get(name) or await self._claim(req, name, deadline)
+        running = self._running.get(name)
+        if running is not None and running.fingerprint != req.fingerprint:
+            raise outcome.NotRun(422, "key_reused", KEY_REUSED)
+        task = running.task if running else await self._claim(req, name, deadline)
         if isinstance(task, claims.Held):
             return await self._follow(req, name, task.claim, deadline)
         # The run goes on when the caller goes away: it may have taken effect.
@@ -169,7 +181,7 @@
         if not held.mine:
             return held
         task = asyncio.ensure_future(self._execute(req, name, held.claim, deadline))
-        self._running[name] = task
+        self._running[name] = _Running(task, req.fingerprint)
         task.add_done_callback(lambda _task: self._ended(name, _task))
         return task
 
@@ -191,7 +203,7 @@
             raise
         end, body = await _collect(placed)
         if isinstance(end, message.End) and end.outcome == message.Outcome.DONE:
-            self._bill(placed.attempt.start)
+            self._bill(placed)
             final = claims.finish_claim(claim, end.status, end.headers, body)
             await ctx.claims.settle(name, claim, final)
             placed.attempt.close()
@@ -212,8 +224,7 @@
         loop = asyncio.get_running_loop()
         while True:
             if claim.fingerprint != req.fingerprint:
-                detail = "this Idempotency-Key was used for another request; use a new one"
-                raise outcome.NotRun(422, "key_reused", detail)
+                raise outcome.NotRun(422, "key_reused", KEY_REUSED)
             if claim.state == "done" and not claim.truncated:
                 return Answer(claim.status, claim.headers, claim.body, replayed=True)
             if claim.state == "done":
--- a/berylrock/daemons/entry/peers.py
+++ b/berylrock/daemons/entry/peers.py
@@ -34,6 +34,7 @@
       report: Its last report.
       attempts: The attempts that run there, by id.
       sent_tokens: Tokens of attempts sent since the last report.
+      sent_requests: Attempts sent since then.
     """
 
     def __init__(
@@ -53,6 +54,8 @@
         self.report = message.Report()
         self.attempts: dict[str, attempts.Attempt] = {}
         self.sent_tokens = 0
+        self.sent_requests = 0
+        self._closed_bytes = 0
         self.task = parts.timer.spawn(self._run())
 
     @property
@@ -60,6 +63,16 @@
         """Whether the path is open."""
         return self._link is not None
 
+    @property
+    def holder(self) -> str:
+        """Name of the sidecar process, other after each restart; empty while the path is broken."""
+        return f"{self.server.name}/{self._incarnation}" if self.connected else ""
+
+    @property
+    def link_bytes(self) -> int:
+        """Bytes sent and received on all connections to the sidecar."""
+        return self._closed_bytes + (self._link.bytes if self._link is not None else 0)
+
     def send(self, msg: message.Message) -> None:
         """Send a message, if the path is open."""
         if self._link is not None:
@@ -70,6 +83,7 @@
         attempt = attempts.Attempt(start, self)
         self.attempts[start.attempt] = attempt
         self.sent_tokens += start.tokens
+        self.sent_requests += 1
         self.send(start)
         return attempt
 
@@ -81,13 +95,12 @@
         """What a balancer needs to know."""
         capacity = self.report.capacity_tokens or 1
         load = (self.report.held_tokens + self.sent_tokens) / capacity
-        load += self.report.queued
         return registry.ServerView(
             self.server.name,
             self.server.zone == self._cfg.zone,
             load,
             len(self.attempts),
-            self.report.cold,
+            self.report.slots - self.sent_requests,
         )
 
     def close(self) -> None:
@@ -132,6 +145,7 @@
         finally:
             conn.close()
             self._link = None
+            self._closed_bytes += conn.bytes
             self._lost_at = self._parts.timer.now()
             self.report = self.report._replace(reachable=False)
             self._parts.meter.count(metrics.Metrics.LINKS_LOST)
@@ -158,6 +172,7 @@
         if isinstance(msg, message.Report):
             self.report = msg
             self.sent_tokens = 0
+            self.sent_requests = 0
         self._listener(self, msg)
 
     def _deliver(self, msg: message.Chunk | message.End | message.Refused) -> None:
--- a/berylrock/daemons/entry/placement.py
+++ b/berylrock/daemons/entry/placement.py
@@ -14,7 +14,9 @@
 __all__ = ["Placed", "Placer", "Reselect", "find_pool"]
 
 RETRY_PAUSE_SECONDS = 0.05
-PATIENCE_SECONDS = 10.0
+NO_SERVER_PATIENCE_SECONDS = 10.0
+NO_SERVER = "no backend server in service has it; ask the operators or try again"
+MAX_WAITING = 256
 ATTEMPT_BYTES = 12
 FATAL_REASONS = frozenset((admission.Reason.QUARANTINED,))
 RESELECT_REASONS = frozenset((admission.Reason.WITHDRAWN, admission.Reason.NOT_ALLOWED))
@@ -41,6 +43,7 @@
         self._parts = parts
         self._peers = table
         self._balancer = balancer
+        self._waiting = 0
         self._random = random.Random(secrets.randbits(64))
 
     def rank(self, pool: str, target: str, excluded: set[str]) -> list[peers.Peer]:
@@ -74,25 +77,44 @@
           Reselect: The version must not be used any more.
         """
         loop = asyncio.get_running_loop()
-        give_up = min(deadline, loop.time() + PATIENCE_SECONDS)
+        give_up = min(deadline, loop.time() + NO_SERVER_PATIENCE_SECONDS)
         refused: set[str] = set()
-        last = "no backend server in service has it; ask the operators or try again"
+        crowded = False
+        last = NO_SERVER
         while loop.time() < give_up:
             ranked = self.rank(pool, start.target, refused | avoid)
             if not ranked:
                 ranked = self.rank(pool, start.target, refused)
             if not ranked:
+                if crowded:
+                    # The servers are there and will have room, so the caller may as well wait.
+                    self._check_crowd()
+                    give_up = deadline
+                crowded = False
                 refused.clear()
-                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                await self._wait_for_room()
                 self._check_target(start.target)
                 continue
             placed = await self._try(start, ranked[0], deadline)
             if not isinstance(placed.first, message.Refused):
                 return placed
             last = self._judge_refusal(start, placed, refused)
+            crowded = crowded or placed.first.reason == admission.Reason.FULL
             await self._catch_up(placed.first.config_version)
         raise outcome.NotRun(503, "no_capacity", f"{last}; not run, try again")
 
+    def _check_crowd(self) -> None:
+        if self._waiting >= MAX_WAITING:
+            detail = f"{MAX_WAITING} requests wait here for room already; not run, try again"
+            raise outcome.NotRun(503, "overload", detail)
+
+    async def _wait_for_room(self) -> None:
+        self._waiting += 1
+        try:
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        finally:
+            self._waiting -= 1
+
     def _check_target(self, target: str) -> None:
         doc = self._parts.config.doc
         if doc is not None and target in doc.withdrawals:
--- a/berylrock/daemons/entry/process.py
+++ b/berylrock/daemons/entry/process.py
@@ -1,12 +1,14 @@
 """Assembles the entry process and runs it until it is told to stop."""
 
 import asyncio
+import random
+import socket
 from typing import Any
 
 from aiohttp import web
 
 from berylrock.adapters import interfaces, platform
-from berylrock.core import errors, message
+from berylrock.core import errors, message, usage
 from berylrock.daemons import admin, kernel, stopping
 from berylrock.daemons.entry import callers, context, controller, peers, placement
 from berylrock.loader import settings
@@ -15,11 +17,14 @@
 
 __all__ = ["Entry", "run"]
 
+BACKLOG = 1024
+SEND_BUFFER_BYTES = 32_768
 WATCH_SECONDS = 2.0
 ERROR_PAUSE_SECONDS = 0.5
 RATINGS_SECONDS = 0.5
 DRAIN_CHECK_SECONDS = 0.05
 BILL_PATIENCE_SECONDS = 5.0
+COPY_BILLS_SECONDS = 0.25
 
 
 class Entry:
@@ -82,8 +87,10 @@
         elif isinstance(msg, message.Strikes):
             self._spread(msg)
         elif isinstance(msg, message.BillsLeft):
-            for bill in msg.bills:
-                self._ctx.ledger.add(bill)
+            add = self._ctx.ledger.add
+            known = tuple(bill.attempt for bill in msg.bills if not add(bill, peer.holder))
+            if known:
+                peer.send(message.BillsStored(known))
         elif isinstance(msg, message.OutcomeLeft):
             self._parts.timer.spawn(self._take_outcome(peer, msg))
         elif isinstance(msg, message.OrderDone):
@@ -176,6 +183,22 @@
         if servers is not None:
             self._ctx.peers.update(servers)
 
+    def _holders(self) -> dict[str, peers.Peer]:
+        """The sidecar processes that are connected now."""
+        table = list(self._ctx.peers.peers.values())
+        return {peer.holder: peer for peer in table if peer.connected}
+
+    def _copy_bills(self) -> None:
+        """Give bills whose other holder was lost to another sidecar."""
+        connected = self._holders()
+        single = self._ctx.ledger.find_single(connected)
+        if not single or not connected:
+            return
+        holder, peer = random.choice(list(connected.items()))
+        peer.send(message.BillsLeft(single))
+        for bill in single:
+            self._ctx.ledger.add(bill, holder)
+
     async def _flush_bills(self) -> None:
         await self._ctx.ledger.flush(
             lambda attempts: self._ctx.peers.broadcast(message.BillsStored(attempts))
@@ -193,13 +216,20 @@
             "quarantined": list(self._ctx.fleet.record.refused),
             "active": self._callers.active,
             "unstored_bills": len(self._ctx.ledger.pending),
+            "single_bills": len(self._ctx.ledger.find_single(self._holders())),
             "controller": self._controller.describe(),
             "servers": {
-                name: {"connected": peer.connected, "zone": peer.server.zone}
+                name: {
+                    "connected": peer.connected,
+                    "zone": peer.server.zone,
+                    "vm_leaving": peer.server.leaving,
+                }
                 | peer.report._asdict()
                 for name, peer in list(self._ctx.peers.peers.items())
             },
             "counts": dict(self._parts.meter.counts),
+            "link_bytes": sum(peer.link_bytes for peer in list(self._ctx.peers.peers.values())),
+            **usage.read(),
         }
 
     def _subscribe(self) -> None:
@@ -209,6 +239,7 @@
         timer.every(self._cfg.vms_seconds, self._read_vms)
         timer.every(peers.HEARTBEAT_SECONDS, self._ctx.peers.tend)
         timer.every(self._cfg.bill_seconds, self._flush_bills)
+        timer.every(COPY_BILLS_SECONDS, self._copy_bills)
         timer.every(RATINGS_SECONDS, self._read_ratings)
         timer.every(controller.TEND_SECONDS, self._controller.tend)
 
@@ -221,7 +252,7 @@
         port.start()
         await self._read_vms()
         self._subscribe()
-        site = web.TCPSite(web_runner, self._cfg.address, self._cfg.port, backlog=1024)
+        site = web.SockSite(web_runner, self._listen(), backlog=BACKLOG)
         await site.start()
         self._parts.log.write("started", zone=self._cfg.zone, port=self._cfg.port)
         await stop.wait()
@@ -231,10 +262,18 @@
         await self._parts.timer.close()
         self._parts.log.write("stopped")
 
+    def _listen(self) -> socket.socket:
+        """Listen for callers; what the kernel holds for a slow one is bounded as well."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        sock.bind((self._cfg.address, self._cfg.port))
+        return sock
+
     def _ready(self, stop: stopping.Stop) -> Any:
         return lambda: self._parts.config.version > 0 and not stop.requested
 
-    async def _drain(self, stop: stopping.Stop, site: web.TCPSite) -> None:
+    async def _drain(self, stop: stopping.Stop, site: web.SockSite) -> None:
         # Readiness goes first, so that the balancer stops sending before the port closes.
         await asyncio.sleep(self._cfg.readiness_seconds)
         await site.stop()
--- a/berylrock/daemons/sidecar/peers.py
+++ b/berylrock/daemons/sidecar/peers.py
@@ -17,6 +17,9 @@
 ORPHAN_SECONDS = 10.0
 HANDOVER_SECONDS = 3.0
 INCARNATION_BYTES = 8
+MAX_SLOTS = 100_000
+BILL_PATIENCE_SECONDS = 8.0
+MAX_BILLS_OFFERED = 2000
 KEPT_ATTEMPTS = 20_000
 
 
@@ -44,6 +47,8 @@
         self._fence = fence
         self._timer = parts.timer
         self._log = parts.log
+        self._had_room = False
+        self._closed_bytes = 0
         self.links: dict[link.Link, str] = {}
         # Attempts asked after before they came: a Start still under way must not run them.
         self._never: dict[str, None] = {}
@@ -55,6 +60,7 @@
             message.Heartbeat: self._heartbeat,
             message.Config: self._take_config,
             message.BillsStored: self._forget_bills,
+            message.BillsLeft: self._keep_bills,
             message.Strikes: self._take_strikes,
             message.Order: self._order,
         }
@@ -81,12 +87,18 @@
     def _drop(self, conn: link.Link) -> None:
         name = self.links.pop(conn, "")
         conn.close()
+        self._closed_bytes += conn.bytes
         now = self._timer.now()
         for run in self._runner.runs.values():
             if run.link is conn:
                 run.detach(now)
         self._log.write("peer_lost", peer=name)
 
+    @property
+    def link_bytes(self) -> int:
+        """Bytes sent and received on all connections from entry processes."""
+        return self._closed_bytes + sum(conn.bytes for conn in list(self.links))
+
     def report(self) -> message.Report:
         """The state of the backend server, for entry processes."""
         admitted = self._runner.admission
@@ -103,6 +115,7 @@
             reachable=self._backend.reachable,
             fence=self._fence.fence,
             entries=len(self.links),
+            slots=min(admitted.slots, MAX_SLOTS),
         )
 
     def broadcast(self, msg: message.Message) -> None:
@@ -138,10 +151,19 @@
         run = runs.Run(msg, self.links[conn], conn, self._timer.now())
         self._runner.runs[msg.attempt] = run
         run.task = self._timer.spawn(self._run(run))
+        self._report_slots()
 
     async def _run(self, run: runs.Run) -> None:
         await self._runner.run(run)
         self.send_news()
+        self._report_slots()
+
+    def _report_slots(self) -> None:
+        """Tell at once when the server has become full, or has room again."""
+        has_room = self._runner.admission.slots > 0
+        if has_room != self._had_room:
+            self._had_room = has_room
+            self.broadcast(self.report())
 
     def _window(self, _conn: link.Link, msg: message.Window) -> None:
         run = self._runner.runs.get(msg.attempt)
@@ -188,7 +210,12 @@
     def _forget_bills(self, _conn: link.Link, msg: message.BillsStored) -> None:
         for attempt in msg.attempts:
             self._runner.bills.pop(attempt, None)
-            self._runner.bill_owners.pop(attempt, None)
+
+    def _keep_bills(self, conn: link.Link, msg: message.BillsLeft) -> None:
+        """Hold a copy of bills whose first sidecar was lost."""
+        for bill in msg.bills:
+            unstored = runner.UnstoredBill(bill, self.links[conn], self._timer.now())
+            self._runner.bills.setdefault(bill.attempt, unstored)
 
     def _take_strikes(self, _conn: link.Link, msg: message.Strikes) -> None:
         self._strikes.add(msg.strikes, self._timer.now())
@@ -240,11 +267,15 @@
         )
 
     def _hand_over_bills(self) -> None:
+        """Offer bills whose entry process went away, or whose confirmation was lost."""
+        if not self.links:
+            return
+        now = self._timer.now()
         present = set(self.links.values())
         left = tuple(
-            bill
-            for attempt, bill in self._runner.bills.items()
-            if self._runner.bill_owners[attempt] not in present
+            unstored.bill
+            for unstored in self._runner.bills.values()
+            if unstored.owner not in present or now - unstored.since > BILL_PATIENCE_SECONDS
         )
-        if left and self.links:
-            next(iter(self.links)).send(message.BillsLeft(left))
+        if left:
+            next(iter(self.links)).send(message.BillsLeft(left[:MAX_BILLS_OFFERED]))
--- a/berylrock/daemons/sidecar/process.py
+++ b/berylrock/daemons/sidecar/process.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from berylrock.adapters import backend as backend_adapters
-from berylrock.core import data
+from berylrock.core import data, usage
 from berylrock.daemons import admin, kernel, stopping
 from berylrock.daemons.sidecar import backend, peers, runner
 from berylrock.loader import settings
@@ -51,6 +51,9 @@
             self._runner.admission.capacity_tokens = UNBOUNDED_TOKENS
 
     async def _poll(self) -> None:
+        if self._warmth.pool is None:
+            # Until the document tells what the server is, it is not spoken to.
+            return
         changed = await self._backend.poll()
         if self._backend.report.capacity_tokens:
             self._runner.admission.capacity_tokens = self._backend.report.capacity_tokens
@@ -73,6 +76,8 @@
             "unstored_bills": len(self._runner.bills),
             "quarantined": list(self._parts.strikes.refused()),
             "counts": dict(self._parts.meter.counts),
+            "link_bytes": self._peers.link_bytes,
+            **usage.read(),
         }
 
     async def run(self) -> None:
--- a/berylrock/daemons/sidecar/runner.py
+++ b/berylrock/daemons/sidecar/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import NamedTuple
 
 from berylrock.adapters import interfaces
 from berylrock.core import message, metrics
@@ -10,7 +11,7 @@
 from berylrock.loader import settings
 from berylrock.ops import admission, runs
 
-__all__ = ["Runner"]
+__all__ = ["Runner", "UnstoredBill"]
 
 READER_PATIENCE_SECONDS = 5.0
 CALL_PIECE_BYTES = 65_536
@@ -18,13 +19,20 @@
 STALLED = "backend server sent nothing for too long"
 
 
+class UnstoredBill(NamedTuple):
+    """A bill, the entry process that is to store it, and the time it was made."""
+
+    bill: message.Bill
+    owner: str
+    since: float
+
+
 class Runner:
     """Takes attempts through admission and the backend server.
 
     Attributes:
       runs: The attempts that run, and those that ended and were not yet forgotten.
       bills: Records of answered attempts that no entry process has stored yet.
-      bill_owners: The entry process that is to store each of them.
       news: What was learned about crashing requests and not yet sent.
       leaving: Whether new attempts are refused because the sidecar is stopping.
     """
@@ -41,8 +49,7 @@
         self.warmth = server.warmth
         self.admission = admission.Admission(self.warmth, parts.strikes, cfg.max_queue)
         self.runs: dict[str, runs.Run] = {}
-        self.bills: dict[str, message.Bill] = {}
-        self.bill_owners: dict[str, str] = {}
+        self.bills: dict[str, UnstoredBill] = {}
         self.news: list[message.Strikes] = []
         self.leaving = False
 
@@ -121,6 +128,7 @@
         except interfaces.BackendError as exc:
             end = self._end(run, message.Outcome.ERROR, str(exc))
         except runs.ReaderStalled:
+            self._meter.count(metrics.Metrics.PAUSED)
             end = self._end(run, message.Outcome.PAUSED, "the reader did not read")
         except TimeoutError:
             end = self._end(run, message.Outcome.STALLED, STALLED)
@@ -156,8 +164,8 @@
             end.prompt_tokens,
             end.tokens,
         )
-        self.bills[start.attempt] = bill
-        self.bill_owners[start.attempt] = run.owner
+        now = asyncio.get_running_loop().time()
+        self.bills[start.attempt] = UnstoredBill(bill, run.owner, now)
 
     async def _judge_loss(
         self, run: runs.Run, incarnation: str, exc: interfaces.BackendLost
@@ -186,8 +194,6 @@
 
     async def _run_engine(self, run: runs.Run) -> message.End:
         engine: interfaces.Engine = self.backend.server  # type: ignore[assignment]
-        loop = asyncio.get_running_loop()
-        began = loop.time()
         events = engine.run(run.start)
         try:
             while True:
@@ -195,7 +201,7 @@
                     item = await anext(events)
                 if isinstance(item, interfaces.Piece):
                     if run.offset == 0:
-                        self.warmth.note_first_token(loop.time() - began)
+                        self.admission.note_first_token(run.start.attempt)
                     await run.put(item.choices, READER_PATIENCE_SECONDS)
                 elif isinstance(item, interfaces.Finished):
                     return self._end(run, message.Outcome.DONE, "", item.prompt_tokens, item.tokens)
@@ -205,11 +211,9 @@
     async def _run_call(self, run: runs.Run) -> message.End:
         server: interfaces.PlainServer = self.backend.server  # type: ignore[assignment]
         start = run.start
-        loop = asyncio.get_running_loop()
-        began = loop.time()
         async with asyncio.timeout(start.timeout_ms / 1000.0):
             answer = await server.call(start, MAX_ANSWER_BYTES)
-        self.warmth.note_first_token(loop.time() - began)
+        self.admission.note_first_token(start.attempt)
         for position in range(0, len(answer.body), CALL_PIECE_BYTES):
             piece = answer.body[position : position + CALL_PIECE_BYTES]
             await run.put(piece, READER_PATIENCE_SECONDS)
--- a/berylrock/ops/admission.py
+++ b/berylrock/ops/admission.py
@@ -16,6 +16,7 @@
 
 TOKEN_SHARE = 0.9
 SUSPECT_COMPANY = 2
+LONGEST_WAIT_SECONDS = 0.5
 
 
 class Reason:
@@ -104,12 +105,14 @@
 
     Attributes:
       running: The requests held, by attempt.
+      waiting_first: Those that have had no first token, and since when.
       held_tokens: Tokens reserved by them.
       capacity_tokens: Tokens that the server can hold; 0 if it is bounded by requests.
     """
 
     def __init__(self, evidence: warmth.Warmth, table: strikes.StrikeTable, max_queue: int) -> None:
         self.running: dict[str, message.Start] = {}
+        self.waiting_first: dict[str, float] = {}
         self.held_tokens = 0
         self.capacity_tokens = 0
         self._warmth = evidence
@@ -123,12 +126,25 @@
         """Requests that wait."""
         return sum(not item.admitted.done() for item in self._queue)
 
+    @property
+    def slots(self) -> int:
+        """Requests that could start at once, as far as their number is the limit."""
+        if self.queued:
+            return 0
+        limit = self._warmth.allowance
+        pool = self._warmth.pool
+        if pool is not None and pool.kind == "service":
+            limit = min(limit, pool.concurrency)
+        return max(0, limit - len(self.running))
+
     def _fits(self, start: message.Start) -> bool:
         if len(self.running) >= self._warmth.allowance:
             return False
         pool = self._warmth.pool
         if pool is not None and pool.kind == "service":
             return len(self.running) < pool.concurrency
+        if len(self.waiting_first) >= self._warmth.first_token_limit:
+            return False
         if self.held_tokens + start.tokens > self.capacity_tokens * TOKEN_SHARE:
             return False
         suspects = [item for item in self.running.values() if self._is_suspect(item)]
@@ -152,6 +168,9 @@
     async def enter(self, start: message.Start) -> None:
         """Wait until the server may hold a request.
 
+        The wait is short: what does not fit soon is handed back, and placed with fresh knowledge
+        of all servers. Its deadline keeps its rank, so that it does not lose its turn.
+
         Args:
           start: The request; call ``leave`` when it no longer runs.
 
@@ -175,10 +194,12 @@
         )
         heapq.heappush(self._queue, waiting)
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(min(seconds, LONGEST_WAIT_SECONDS)):
                 await waiting.admitted
         except TimeoutError as exc:
-            raise Refusal(Reason.TIMEOUT, "deadline passed in the queue") from exc
+            if seconds <= LONGEST_WAIT_SECONDS:
+                raise Refusal(Reason.TIMEOUT, "deadline passed in the queue") from exc
+            raise Refusal(Reason.FULL, "no room came up in time; try another server") from exc
         except asyncio.CancelledError:
             if waiting.admitted.done() and not waiting.admitted.cancelled():
                 self.leave(start.attempt)
@@ -189,10 +210,19 @@
 
     def _hold(self, start: message.Start) -> None:
         self.running[start.attempt] = start
+        self.waiting_first[start.attempt] = asyncio.get_running_loop().time()
         self.held_tokens += start.tokens
 
+    def note_first_token(self, attempt: str) -> None:
+        """The first token of a request has come; take it as evidence and let the next one in."""
+        began = self.waiting_first.pop(attempt, None)
+        if began is not None:
+            self._warmth.note_first_token(asyncio.get_running_loop().time() - began)
+            self.admit()
+
     def leave(self, attempt: str) -> None:
         """A request no longer runs; let the next one in."""
+        self.waiting_first.pop(attempt, None)
         start = self.running.pop(attempt, None)
         if start is not None:
             self.held_tokens -= start.tokens
--- a/berylrock/ops/ledger.py
+++ b/berylrock/ops/ledger.py
@@ -1,30 +1,41 @@
 """Stores bills in batches, each counted once however often it is stored.
 
 A bill is keyed by its request's step. The sidecar that ran the attempt keeps its copy until this
-process says that the object API has it, so that either of the two may die.
+process says that the object API has it, so that either of the two may die. When that sidecar is
+lost, another is asked to hold a copy.
 """
 
+import itertools
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
+from typing import NamedTuple
 
 import msgspec
 
 from berylrock.adapters import interfaces
 from berylrock.core import errors, message, metrics
 
-__all__ = ["Ledger", "count_once", "read_all"]
+__all__ = ["Ledger", "PendingBill", "count_once", "read_all"]
 
 OBJECT_KIND = "bills"
 MAX_BATCH_BILLS = 2000
 MAX_PENDING_BILLS = 200_000
+MAX_REMEMBERED = 100_000
 NAME_BYTES = 8
 
 
+class PendingBill(NamedTuple):
+    """A bill, and the sidecar process that holds the other copy; empty if none does."""
+
+    bill: message.Bill
+    holder: str
+
+
 class Ledger:
     """The bills of one entry process that the object API does not have yet.
 
     Attributes:
-      pending: The bills by attempt.
+      pending: The bills by attempt, each with the sidecar process that holds the other copy.
     """
 
     def __init__(self, objects: interfaces.Objects, name: str, meter: metrics.Metrics) -> None:
@@ -33,12 +44,32 @@
         self._meter = meter
         self._sequence = 0
         self._batch: tuple[message.Bill, ...] = ()
-        self.pending: dict[str, message.Bill] = {}
+        self._stored: dict[str, None] = {}
+        self.pending: dict[str, PendingBill] = {}
+
+    def add(self, bill: message.Bill, holder: str) -> bool:
+        """Add a bill, to be stored with the next batch.
+
+        Args:
+          bill: The bill.
+          holder: The sidecar process that holds the other copy; empty if none does.
 
-    def add(self, bill: message.Bill) -> None:
-        """Add a bill, to be stored with the next batch."""
+        Returns:
+          Whether it is new; False if this process has stored it before.
+        """
+        if bill.attempt in self._stored:
+            return False
         if len(self.pending) < MAX_PENDING_BILLS:
-            self.pending[bill.attempt] = bill
+            self.pending[bill.attempt] = PendingBill(bill, holder)
+        return True
+
+    def find_single(self, holders: Collection[str]) -> tuple[message.Bill, ...]:
+        """Find the bills whose other copy is lost.
+
+        Args:
+          holders: The sidecar processes that are connected now.
+        """
+        return tuple(item.bill for item in self.pending.values() if item.holder not in holders)
 
     async def flush(self, stored: Callable[[tuple[str, ...]], None]) -> None:
         """Store a batch.
@@ -50,7 +81,8 @@
           stored: Called with the attempts whose bills are now stored.
         """
         if not self._batch:
-            self._batch = tuple(self.pending.values())[:MAX_BATCH_BILLS]
+            pending = itertools.islice(self.pending.values(), MAX_BATCH_BILLS)
+            self._batch = tuple(item.bill for item in pending)
         if not self._batch:
             return
         name = f"{self._prefix}-{self._sequence:09d}"
@@ -67,6 +99,9 @@
         self._batch = ()
         for attempt in attempts:
             self.pending.pop(attempt, None)
+            self._stored[attempt] = None
+        while len(self._stored) > MAX_REMEMBERED:
+            del self._stored[next(iter(self._stored))]
         self._meter.count(metrics.Metrics.BILLS_STORED, len(attempts))
         stored(attempts)
 
--- a/berylrock/ops/warmth.py
+++ b/berylrock/ops/warmth.py
@@ -1,8 +1,8 @@
 """Decides how much a backend server bears, from evidence that it is warm.
 
 A server is held to be cold after a start of the server or of the sidecar, when its report says so,
-and when first tokens come late. A cold server gets ``cold_limit`` requests at a time; each
-``warm_after`` prompt answers double that.
+and when first tokens come late. A server that says it is cold gets ``cold_limit`` requests at a
+time; after that each prompt first token allows one more, which doubles them with each round.
 """
 
 from berylrock.core import data
@@ -11,7 +11,7 @@
 
 LATE_ANSWERS_TO_COLD = 3
 UNBOUNDED = 100_000
-MAX_DOUBLINGS = 8
+UNBOUNDED_AFTER = 256
 
 
 class Warmth:
@@ -31,17 +31,25 @@
             return True
         return self._prompt_answers < self.pool.warm_after
 
+    @property
+    def first_token_limit(self) -> int:
+        """Most requests that may wait for their first token at a time.
+
+        It holds for warm servers too: one that turned cold without warning answers late, and so
+        gets no more than this until its first tokens or its report tell.
+        """
+        return self.pool.cold_limit if self.pool is not None else 0
+
     @property
     def allowance(self) -> int:
         """Most requests that the server may hold now."""
         if self.pool is None:
             return 0
-        if self.cold:
+        if self._reported_cold:
             return self.pool.cold_limit
-        doublings = self._prompt_answers // max(1, self.pool.warm_after)
-        if doublings >= MAX_DOUBLINGS:
+        if self._prompt_answers >= UNBOUNDED_AFTER:
             return UNBOUNDED
-        return self.pool.cold_limit * 2**doublings
+        return self.pool.cold_limit + self._prompt_answers
 
     def reset(self) -> None:
         """Forget all evidence, for example after a restart of the server."""
@@ -60,8 +68,7 @@
             return
         if seconds <= self.pool.warm_first_token_seconds:
             self._late_answers = 0
-            if not self._reported_cold:
-                self._prompt_answers += 1
+            self._prompt_answers += 1
             return
         self._late_answers += 1
         if self._late_answers >= LATE_ANSWERS_TO_COLD:
--- a/berylrock/plugins/registry.py
+++ b/berylrock/plugins/registry.py
@@ -57,14 +57,14 @@
       same_zone: Whether it is in the entry process's own availability zone.
       load: Share of its capacity in use, by its last report and what was sent since.
       outstanding: Requests of this entry process that it holds.
-      cold: Whether it is in cold start.
+      slots: Requests that could start there at once, less those sent since its last report.
     """
 
     name: str
     same_zone: bool
     load: float
     outstanding: int
-    cold: bool
+    slots: int
 
 
 class Policy(Protocol):
--- a/berylrock/scripts/main.py
+++ b/berylrock/scripts/main.py
@@ -4,7 +4,7 @@
 import sys
 
 from berylrock.core import errors
-from berylrock.scripts import configure, daemons, inspect
+from berylrock.scripts import bench, configure, daemons, inspect
 
 __all__ = ["EXIT_FAILED", "EXIT_OK", "EXIT_REFUSED", "build_parser", "main"]
 
@@ -26,7 +26,7 @@
         epilog=EPILOG,
     )
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
-    for module in (daemons, configure, inspect):
+    for module in (daemons, configure, inspect, bench):
         module.add_commands(commands)
     return parser
 
--- /dev/null
+++ b/berylrock/scripts/soak.py
@@ -0,0 +1,42 @@
+"""Runs a soak from a seed and prints its schedule and each breach."""
+
+import argparse
+import pathlib
+import sys
+import tempfile
+
+from berylrock.bench import deployments
+from berylrock.standins import fleet, soak
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Parse arguments and run the soak."""
+    parser = argparse.ArgumentParser(description="Draws failures at random, two at a time.")
+    parser.add_argument("--deployment", default="ferrante", choices=sorted(soak.SERVICES))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    args = parser.parse_args()
+    shape = deployments.DEPLOYMENTS[args.deployment]
+    root = pathlib.Path(tempfile.mkdtemp(prefix="berylrock-soak-"))
+    options = fleet.FleetOptions(
+        f"examples/{args.deployment}.jsonc", root, shape.engines, shape.services, 3, paths=True
+    )
+    with fleet.Fleet(options) as running:
+        result = soak.run(running, args.deployment, args.seed, args.seconds)
+    print(f"soak: {args.deployment} seed {args.seed}, records in {root}")
+    for line in result.schedule:
+        print(f"soak: {line}")
+    for breach in result.breaches:
+        print(f"soak: breach: {breach}")
+    verdict = result.verdict
+    print(
+        f"soak: {verdict.answered} answered, {verdict.not_run} refused as not run, "
+        f"{verdict.unknown} unknown, {verdict.broken} cut off, {len(result.breaches)} breaches"
+    )
+    sys.exit(1 if result.breaches else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/berylrock/standins/caller.py
+++ b/berylrock/standins/caller.py
@@ -1,6 +1,8 @@
 """A caller of the router that judges each answer: whole, its own, and how it ended."""
 
 import json
+import socket
+import threading
 import time
 from typing import Any, NamedTuple
 
@@ -11,6 +13,7 @@
 __all__ = ["Caller", "Result"]
 
 DEFAULT_TIMEOUT_SECONDS = 60.0
+RECEIVE_BUFFER_BYTES = 16_384
 
 
 class Result(NamedTuple):
@@ -47,7 +50,8 @@
     def __init__(self, base_url: str, key: str) -> None:
         self._base = base_url
         self._key = key
-        self._http = urllib3.PoolManager(retries=False, maxsize=64)
+        options = [(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)]
+        self._http = urllib3.PoolManager(retries=False, maxsize=64, socket_options=options)
 
     def _headers(self, request_id: str, extra: dict[str, str]) -> dict[str, str]:
         headers = {"Authorization": f"Bearer {self._key}", **extra}
@@ -63,7 +67,7 @@
         stream: bool = True,
         model: str = "auto",
         timeout: float = DEFAULT_TIMEOUT_SECONDS,
-        read_delay: float = 0.0,
+        hold: threading.Event | None = None,
         **headers: str,
     ) -> Result:
         """Ask a model and check the answer.
@@ -75,7 +79,7 @@
           stream: Whether to read server-sent events.
           model: What to ask for.
           timeout: Longest silence.
-          read_delay: Pause before the stream is read, in seconds.
+          hold: If given, the stream is not read before this is set.
           **headers: Further headers, with ``_`` for ``-``.
         """
         body = {
@@ -97,7 +101,8 @@
             )
             if resp.status != 200 or not stream:
                 return self._read_whole(resp, prompt, tokens, request_id, sent)
-            time.sleep(read_delay)
+            if hold is not None:
+                hold.wait()
             return self._read_stream(resp, prompt, tokens, request_id, sent)
         except urllib3.exceptions.HTTPError as exc:
             return Result(request_id, 0, "broken", "", {}, False, detail=str(exc))
--- a/berylrock/standins/fleet.py
+++ b/berylrock/standins/fleet.py
@@ -111,6 +111,7 @@
       processes: All processes by name.
       servers: The rows of the VM list by server name.
       doc: The configuration document.
+      config_version: Version of the document last stored.
     """
 
     def __init__(self, options: FleetOptions) -> None:
@@ -128,7 +129,7 @@
         self._network = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
         self._next_host = 1
         self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=32, num_pools=64)
-        self._config_version = 0
+        self.config_version = 0
 
     # Addresses and files
 
@@ -303,6 +304,14 @@
         """Whether a URL answers 200."""
         return self.fetch(url, key) is not None
 
+    def listens(self, url: str) -> bool:
+        """Whether anything answers at a URL, be it an error."""
+        try:
+            self._http.request("GET", url, timeout=2.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
     def fetch(self, url: str, key: str = "") -> bytes | None:
         """Read a URL; None if it does not answer 200."""
         headers = {"Authorization": f"Bearer {key}"} if key else {}
@@ -339,9 +348,9 @@
         """Store a document; returns its version."""
         url = f"{self.platform_url}/objects/config/production"
         resp = self._http.request("PUT", url, body=text.encode())
-        self._config_version = int(resp.headers["X-Version"])
+        self.config_version = int(resp.headers["X-Version"])
         self.text = text
-        return self._config_version
+        return self.config_version
 
     # Waiting
 
--- a/berylrock/standins/platform.py
+++ b/berylrock/standins/platform.py
@@ -79,7 +79,7 @@
         return app
 
     async def _take_faults(self, req: web.Request) -> web.Response:
-        """Options: outage, slow (seconds), lose (how many answers by kind)."""
+        """Options: outage, outage_kinds, slow (seconds), lose (how many answers by kind)."""
         self._faults = await req.json()
         async with self._changed:
             self._changed.notify_all()
@@ -92,7 +92,7 @@
         kind = req.match_info.get("kind", "")
         name = f"{req.method} {kind or req.path}"
         self._counts[name] = self._counts.get(name, 0) + 1
-        if self._faults.get("outage"):
+        if self._is_out(kind):
             return web.Response(status=503, text="outage")
         await asyncio.sleep(self._faults.get("slow", 0.0))
         response = await handler(req)
@@ -102,10 +102,16 @@
             self._record.write("answer_lost", kind=kind)
             if req.transport is not None:
                 req.transport.abort()
-        if self._faults.get("outage"):
+        if req.method == "GET" and self._is_out(kind):
             return web.Response(status=503, text="outage")
         return response
 
+    def _is_out(self, kind: str) -> bool:
+        """Whether calls for a kind of object fail; the VM list is a service of its own."""
+        if not kind:
+            return False
+        return bool(self._faults.get("outage")) or kind in self._faults.get("outage_kinds", ())
+
     async def _get_counts(self, _req: web.Request) -> web.Response:
         return web.json_response(self._counts)
 
--- a/berylrock/wire/link.py
+++ b/berylrock/wire/link.py
@@ -28,7 +28,9 @@
 
     Attributes:
       last_heard: Event-loop time of the last frame received.
-      received: Bytes received; sent: bytes sent.
+      received: Bytes received.
+      sent: Bytes sent.
+      closed: Whether it has been closed from this side.
     """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -41,6 +43,11 @@
         self.sent = 0
         self.closed = False
 
+    @property
+    def bytes(self) -> int:
+        """Bytes sent and received."""
+        return self.sent + self.received
+
     def send(self, msg: message.Message) -> None:
         """Queue a message; it leaves at the end of this turn of the event loop.
 
--- a/berylrock/wire/schema.capnp
+++ b/berylrock/wire/schema.capnp
@@ -17,6 +17,7 @@
   reachable @8 :Bool;
   fence @9 :UInt64;
   entries @10 :UInt32;
+  slots @11 :UInt32;
 }
 struct Start {
   attempt @0 :Text;
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the steps share."""
--- /dev/null
+++ b/features/support/mutants.py
@@ -0,0 +1,232 @@
+"""Shows that scenarios can fail: takes one mechanism out of a scratch copy and runs its scenario.
+
+A mutant that its scenario does not notice is reported. Run from the root of a checkout:
+``python features/support/mutants.py [NAME ...]``.
+"""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import NamedTuple
+
+COPIED = ("berylrock", "features", "examples")
+
+
+class Mutant(NamedTuple):
+    """A mechanism taken out: a text in a file, what replaces it, and the scenario to fail."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    scenario: str
+
+
+MUTANTS = (
+    Mutant(
+        "allowed",
+        "ops/choice.py",
+        "    return data.is_allowed(organisation, version_id)",
+        "    return True",
+        "Only allowed versions run at ferrante",
+    ),
+    Mutant(
+        "withdrawn",
+        "ops/choice.py",
+        "or text in doc.withdrawals",
+        "",
+        "A withdrawn version gets no new work at ferrante",
+    ),
+    Mutant(
+        "lagging",
+        "daemons/sidecar/runner.py",
+        "if start.config_version < self._config.version:",
+        "if False:",
+        "An entry process that was frozen",
+    ),
+    Mutant(
+        "session",
+        "daemons/entry/models.py",
+        "        elif session:",
+        "        elif False:",
+        "Sessions keep their version through a growing roll-out at ferrante",
+    ),
+    Mutant(
+        "bills-once",
+        "daemons/sidecar/peers.py",
+        "        self._hand_over_bills()",
+        "        pass",
+        "though its entry-1 is killed",
+    ),
+    Mutant(
+        "bills-copied",
+        "daemons/entry/process.py",
+        "        peer.send(message.BillsLeft(single))\n",
+        "",
+        "though first its sidecar",
+    ),
+    Mutant(
+        "cold-limit",
+        "ops/warmth.py",
+        "            return self.pool.cold_limit\n",
+        "            return UNBOUNDED\n",
+        "Cold engines get no more than they bear at ferrante",
+    ),
+    Mutant(
+        "cold-again",
+        "ops/warmth.py",
+        "return self.pool.cold_limit if self.pool is not None else 0",
+        "return UNBOUNDED",
+        "An engine that turns cold without warning",
+    ),
+    Mutant(
+        "zone",
+        "daemons/entry/peers.py",
+        "            and peer.server.zone in in_service\n",
+        "",
+        "A zone goes out and comes back under load at ferrante",
+    ),
+    Mutant(
+        "reattach",
+        "daemons/entry/peers.py",
+        "            conn.send(message.Attach(attempt.start.attempt, attempt.offset))",
+        "            pass",
+        "Streams survive connections that go silent for good at ferrante",
+    ),
+    Mutant(
+        "resume",
+        "daemons/entry/models.py",
+        "            resume_tokens=self._pieces,",
+        "            resume_tokens=0,",
+        "Streams are resumed whole when engine-1.backend",
+    ),
+    Mutant(
+        "not-run",
+        "ops/claims.py",
+        "            except errors.StoreUnavailable:\n                if attempt",
+        "            except errors.StoreUnavailable:\n"
+        "                return Held(True, claim, 0)\n                if attempt",
+        "While the store is out orders are refused truthfully and the rest goes on at ferrante",
+    ),
+    Mutant(
+        "claim",
+        "ops/claims.py",
+        "                return Held(False, found, stored.version)",
+        "                return Held(True, found, stored.version)",
+        "An order whose entry process is lost is answered through another at ferrante",
+    ),
+    Mutant(
+        "lost-answer",
+        "ops/claims.py",
+        "            if found.token == claim.token:",
+        "            if False:",
+        "Lost answers of the object API neither double nor lose an order at ferrante",
+    ),
+    Mutant(
+        "leaving",
+        "daemons/entry/peers.py",
+        "            and not peer.server.leaving\n",
+        "",
+        "A server that the VM list names as leaving gets no new work at ferrante",
+    ),
+    Mutant(
+        "drain",
+        "daemons/sidecar/process.py",
+        "        while self._busy() and",
+        "        while False and",
+        "A sidecar that is told to stop says so itself",
+    ),
+    Mutant(
+        "config-higher",
+        "daemons/sidecar/peers.py",
+        "            conn.send(message.Config(self._config.version, self._config.body))\n\n"
+        "    def _take_config",
+        "            pass\n\n    def _take_config",
+        "An accepted change is in force everywhere though the store goes out at ferrante",
+    ),
+    Mutant(
+        "operators-race",
+        "ops/publishing.py",
+        "version = await objects.put(configuration.OBJECT_KIND, name, body, if_version)",
+        "version = await objects.put(configuration.OBJECT_KIND, name, body, None)",
+        "Of two operators at once one wins and the other is told at ferrante",
+    ),
+    Mutant(
+        "bad-version",
+        "ops/verdicts.py",
+        "RATING_THRESHOLD = 2.5",
+        "RATING_THRESHOLD = 1e9",
+        "A roll-out of a version that turns bad goes back by itself at ferrante",
+    ),
+    Mutant(
+        "poison",
+        "ops/strikes.py",
+        "FALLS_TO_REFUSE = 2",
+        "FALLS_TO_REFUSE = 100",
+        "A request that crashes engines costs two at the most at ferrante",
+    ),
+    Mutant(
+        "fence",
+        "ops/fences.py",
+        "            if order.fence < self.fence:",
+        '            return ""\n            if order.fence < self.fence:',
+        "A holder frozen past its lease",
+    ),
+    Mutant(
+        "lease",
+        "ops/lease.py",
+        '        elif self._seen_version == 0 or record.holder == "" or gone:',
+        "        elif self._seen_version == 0:",
+        "A roll-out cut short is carried on",
+    ),
+    Mutant(
+        "overload",
+        "ops/admission.py",
+        "TOKEN_SHARE = 0.9",
+        "TOKEN_SHARE = 9.0",
+        "Engines are never given more tokens than they hold",
+    ),
+    Mutant(
+        "slow-reader",
+        "ops/runs.py",
+        "        bounded = self.start.repeatable\n",
+        "        bounded = False\n",
+        "Slow readers hold little memory",
+    ),
+)
+
+
+def is_noticed(mutant: Mutant) -> bool:
+    """Run the mutant's scenario in a scratch copy; tells whether it failed."""
+    with tempfile.TemporaryDirectory(prefix="mutant-") as folder:
+        for name in COPIED:
+            shutil.copytree(name, pathlib.Path(folder) / name)
+        path = pathlib.Path(folder) / "berylrock" / mutant.file
+        text = path.read_text(encoding="utf-8")
+        if mutant.old not in text:
+            raise SystemExit(f"{mutant.name}: its text is no longer in {mutant.file}")
+        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        command = [sys.executable, "-m", "behave", "-f", "null", "features", "-n", mutant.scenario]
+        env = {**os.environ, "PYTHONPATH": folder}
+        done = subprocess.run(command, cwd=folder, env=env, capture_output=True, check=False)
+        return done.returncode != 0
+
+
+def main() -> None:
+    """Run the mutants that are named, or all."""
+    chosen = [item for item in MUTANTS if not sys.argv[1:] or item.name in sys.argv[1:]]
+    missed = []
+    for mutant in chosen:
+        noticed = is_noticed(mutant)
+        print(f"{mutant.name}: {'failed as it should' if noticed else 'NOT NOTICED'}", flush=True)
+        if not noticed:
+            missed.append(mutant.name)
+    print(f"{len(chosen) - len(missed)} passed, {len(missed)} failed")
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
