Prove the operators' commands, refusals of bad input, and properties

Cause: only the data path had scenarios; commands, keys, limits, hostile bytes and the codec had none. Ruled out: unit tests beside behave (the users ask for scenarios); the drawn properties run as steps, with hypothesis derandomised so that the verdict is the same every time.

--- /dev/null
+++ b/features/steps/property_steps.py
@@ -0,0 +1,141 @@
+"""Steps that draw many values and check properties."""
+
+import string
+import typing
+
+import hypothesis
+from behave import then
+from hypothesis import strategies
+
+from berylrock.core import data, errors, message
+from berylrock.loader import document, editing
+from berylrock.ops import sessions, subsets
+from berylrock.wire import codec
+
+DRAWS = 200
+ENTRIES, SERVERS, SUBSET = 370, 2800, 64
+UINT32_MAX = 2**32 - 1
+TEXT = strategies.text(alphabet=string.printable, max_size=40)
+run_draws = hypothesis.settings(max_examples=DRAWS, deadline=None, derandomize=True, database=None)
+
+
+def field_strategy(name, hint):
+    """Values that a field of a message may have."""
+    if hint is bool:
+        return strategies.booleans()
+    if hint is int:
+        limit = 2**16 - 1 if name == "status" else UINT32_MAX
+        return strategies.integers(0, min(limit, 2**31 - 1))
+    if hint is bytes:
+        return strategies.binary(max_size=200)
+    if hint is str:
+        return TEXT
+    item = typing.get_args(hint)[0]
+    inner = TEXT if item is str else message_strategy(item)
+    return strategies.lists(inner, max_size=4).map(tuple)
+
+
+def message_strategy(cls):
+    """Messages of one type."""
+    hints = typing.get_type_hints(cls)
+    fields = {name: field_strategy(name, hints[name]) for name in cls._fields}
+    return strategies.builds(cls, **fields)
+
+
+@then("every message survives encoding and decoding")
+def step_codec(context):
+    """Decoding gives back what was encoded."""
+    kinds = [message_strategy(cls) for cls in typing.get_args(message.Message)]
+
+    @run_draws
+    @hypothesis.given(strategies.one_of(kinds))
+    def check(msg):
+        assert codec.decode(codec.encode(msg)) == msg
+
+    check()
+
+
+@then("no bytes make the codec fail in another way than by refusing them")
+def step_hostile(context):
+    """Any bytes are a message or a ProtocolError."""
+
+    @run_draws
+    @hypothesis.given(strategies.binary(max_size=400))
+    def check(body):
+        try:
+            codec.decode(body)
+        except errors.ProtocolError:
+            pass
+
+    check()
+
+
+@then("an edited document differs only where it was edited")
+def step_edit(context):
+    """Zones and withdrawals change, and nothing else does."""
+    with open("examples/ferrante.jsonc", encoding="utf-8") as file:
+        text = file.read()
+    doc, _ = document.load(text, "ferrante")
+    zones = [zone.name for zone in doc.zones]
+    versions = [f"{model.name}@{item.name}" for model in doc.models for item in model.versions]
+
+    @run_draws
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                strategies.tuples(strategies.sampled_from(zones), strategies.booleans()),
+                strategies.tuples(strategies.sampled_from(versions), strategies.none()),
+            ),
+            max_size=6,
+        )
+    )
+    def check(edits):
+        changed, current = text, doc
+        states, withdrawn = {}, set()
+        for name, state in edits:
+            if state is None:
+                changed = editing.add_withdrawal(changed, current, name)
+                withdrawn.add(name)
+            else:
+                changed = editing.set_zone(changed, current, name, state)
+                states[name] = state
+            current, found = document.load(changed, "edited")
+            assert current is not None, found
+        assert set(current.withdrawals) == withdrawn
+        for zone in current.zones:
+            assert zone.in_service == states.get(zone.name, True)
+        assert current._replace(zones=doc.zones, withdrawals=()) == doc
+
+    check()
+
+
+@then("every server of a large pool is chosen by some entry process")
+def step_subsets(context):
+    """At the size to design for, few servers are left out and the spread is known."""
+    servers = tuple(data.Server(f"engine-{n}", "z", "p", "a", 1) for n in range(SERVERS))
+    counts = dict.fromkeys((server.name for server in servers), 0)
+    for index in range(ENTRIES):
+        chosen = subsets.choose(servers, f"entry-{index}", SUBSET)
+        assert len(chosen) == SUBSET
+        for server in chosen:
+            counts[server.name] += 1
+    values = sorted(counts.values())
+    print(f"entry processes a server: {values[0]} to {values[-1]}, median {values[SERVERS // 2]}")
+    left_out = values.count(0)
+    assert left_out <= SERVERS // 1000, left_out
+
+
+@then("a session token of one organisation is worth nothing to another")
+def step_tokens(context):
+    """Tokens are bound to organisation, session and version."""
+    version = data.VersionId("maestro", "2")
+
+    @run_draws
+    @hypothesis.given(strategies.from_regex(r"[a-z0-9-]{1,20}", fullmatch=True), TEXT)
+    def check(session, other):
+        token = sessions.sign_token("secret", "cellar", session, version)
+        assert sessions.read_token("secret", "cellar", token) == (session, version)
+        assert sessions.read_token("secret", "export", token)[1] is None
+        assert sessions.read_token("secret", "cellar", session + "~" + other)[1] is None
+
+    check()
