Answer whole requests by a cascade where it pays

Cause: an organisation with a high target paid the dear version for every answer, though many cheap answers would do. Ruled out: cascading streams (the first token would wait for the last); a judge of our own (the engine's confidence is there and costs nothing); a fixed order (where cheap answers rarely pass it costs more than it saves, so the share that passes is learned and a step is asked only if it saves). Change: organisations may allow it; the plan ends at the version the policy prefers; each step has a bill of its own under the request; the answer names the versions asked. Larger files were split on the way (processes, commands). Conclusion: stands behind a switch of the document, off by default.

--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -33,6 +33,7 @@
 class _Usage(msgspec.Struct):
     prompt_tokens: int = 0
     completion_tokens: int = 0
+    confidence: float = 0.0
 
 
 class _Event(msgspec.Struct):
@@ -129,7 +130,9 @@
                     continue
                 payload = line[len(DATA_PREFIX) :]
                 if payload == DONE_MARK:
-                    yield interfaces.Finished(usage.prompt_tokens, usage.completion_tokens)
+                    yield interfaces.Finished(
+                        usage.prompt_tokens, usage.completion_tokens, usage.confidence
+                    )
                     return
                 event = _decode_event(payload)
                 usage = event.usage or usage
--- a/berylrock/adapters/interfaces.py
+++ b/berylrock/adapters/interfaces.py
@@ -51,10 +51,17 @@
 
 
 class Finished(NamedTuple):
-    """The end mark of an answer, with the tokens of prompt and answer."""
+    """The end mark of an answer.
+
+    Attributes:
+      prompt_tokens: Tokens of the prompt.
+      tokens: Tokens of the answer.
+      confidence: The engine's own estimate of the answer's quality, 0 to 1; 0 if it gives none.
+    """
 
     prompt_tokens: int
     tokens: int
+    confidence: float = 0.0
 
 
 class LoadReport(NamedTuple):
--- a/berylrock/core/data.py
+++ b/berylrock/core/data.py
@@ -19,6 +19,7 @@
     "Version",
     "VersionId",
     "Zone",
+    "DEFAULT_KIND",
     "parse_version_id",
     "find_call",
     "is_allowed",
@@ -57,14 +58,12 @@
     Attributes:
       name: The model's name.
       pool: The pool of backend servers that load it.
-      cascade_order: Rank in a cascade; a lower rank is asked first.
       versions: The versions in use.
     """
 
     name: str
     pool: str
     versions: tuple[Version, ...]
-    cascade_order: int = 0
 
 
 class Organisation(NamedTuple):
@@ -78,6 +77,7 @@
       cost_per_million: The highest price it pays for a million tokens, in euro; 0 for no bound.
       requests_per_second: Its quota; 0 for no bound.
       priority: Higher goes first in a queue.
+      cascade: Whether whole answers may be asked of a cheaper version first, and judged.
     """
 
     name: str
@@ -87,6 +87,7 @@
     cost_per_million: float = 0.0
     requests_per_second: float = 0.0
     priority: int = 0
+    cascade: bool = False
 
 
 class Rollout(NamedTuple):
--- a/berylrock/core/message.py
+++ b/berylrock/core/message.py
@@ -176,6 +176,7 @@
       prompt_tokens: Tokens of the prompt.
       tokens: Tokens generated.
       detail: What happened, for people.
+      confidence: The engine's own estimate of the answer's quality, 0 to 1.
     """
 
     attempt: str = ""
@@ -186,6 +187,7 @@
     prompt_tokens: int = 0
     tokens: int = 0
     detail: str = ""
+    confidence: float = 0.0
 
 
 class Outcome:
--- a/berylrock/core/metrics.py
+++ b/berylrock/core/metrics.py
@@ -22,6 +22,7 @@
     ENGINE_FELL = "engine_fell"
     REFUSED = "refused"
     PAUSED = "paused"
+    CASCADES_UP = "cascades_up"
     STORE_CALLS = "store_calls"
     STORE_ERRORS = "store_errors"
     BILLS_STORED = "bills_stored"
--- a/berylrock/daemons/admin.py
+++ b/berylrock/daemons/admin.py
@@ -21,6 +21,10 @@
 THREADS = 3
 MAX_EVENTS = 5000
 
+Settings = settings.EntrySettings | settings.SidecarSettings
+Status = Callable[[], dict[str, Any]]
+Ready = Callable[[], bool]
+
 
 def digest_key(key: str) -> str:
     """The hex SHA-256 of a key, as settings and documents hold it."""
@@ -30,13 +34,7 @@
 class _Pages:
     """The pages of the admin port."""
 
-    def __init__(
-        self,
-        cfg: settings.EntrySettings | settings.SidecarSettings,
-        log: eventlog.EventLog,
-        status: Callable[[], dict[str, Any]],
-        ready: Callable[[], bool],
-    ) -> None:
+    def __init__(self, cfg: Settings, log: eventlog.EventLog, status: Status, ready: Ready) -> None:
         self._cfg = cfg
         self._log = log
         self._status = status
@@ -98,13 +96,7 @@
 class AdminServer:
     """Serves the admin port from CherryPy's threads."""
 
-    def __init__(
-        self,
-        cfg: settings.EntrySettings | settings.SidecarSettings,
-        log: eventlog.EventLog,
-        status: Callable[[], dict[str, Any]],
-        ready: Callable[[], bool],
-    ) -> None:
+    def __init__(self, cfg: Settings, log: eventlog.EventLog, status: Status, ready: Ready) -> None:
         cherrypy.config.update(
             {
                 "server.socket_host": cfg.address,
--- a/berylrock/daemons/entry/callers.py
+++ b/berylrock/daemons/entry/callers.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from berylrock.core import data, metrics
-from berylrock.daemons.entry import calls, context, models, outcome, request
+from berylrock.daemons.entry import calls, cascading, context, models, outcome, request
 from berylrock.ops import budget
 
 __all__ = ["Callers"]
@@ -34,6 +34,7 @@
         self._submit = submit
         self._quotas: dict[str, budget.TokenBucket] = {}
         self.calls = calls.CallRunner(ctx)
+        self._cascader = cascading.Cascader(ctx)
         self.active = 0
         self.stopping = False
 
@@ -135,15 +136,27 @@
         self, req: web.Request, doc: data.Document, caller: request.Caller, body: bytes
     ) -> web.StreamResponse:
         parsed = request.read_model(req, body, caller)
-        run = models.ModelRun(self._ctx, parsed)
         began = time.monotonic()
+        steps = self._cascader.plan(parsed)
+        if len(steps) > 1:
+            return await self._cascade(parsed, steps, began)
+        run = models.ModelRun(self._ctx, parsed)
         try:
             if parsed.stream:
                 return await self._stream(req, parsed, run, began)
-            return await self._whole(parsed, run, began)
+            pieces = [piece async for piece in run.pieces(self._deadline(parsed))]
+            return self._whole(parsed, run, began, pieces)
         finally:
             run.close()
 
+    async def _cascade(
+        self, parsed: request.ModelRequest, steps: tuple[str, ...], began: float
+    ) -> web.StreamResponse:
+        done = await self._cascader.run(parsed, steps, self._deadline(parsed))
+        response = self._whole(parsed, done.run, began, done.pieces)
+        response.headers["X-Berylrock-Cascade"] = ",".join(done.asked)
+        return response
+
     def _deadline(self, parsed: request.ModelRequest) -> float:
         return self._ctx.kernel.timer.now() + parsed.caller.timeout_seconds
 
@@ -160,10 +173,9 @@
             headers["X-Berylrock-Version-Changed-From"] = run.selected.changed_from
         return headers
 
-    async def _whole(
-        self, parsed: request.ModelRequest, run: models.ModelRun, began: float
-    ) -> web.StreamResponse:
-        pieces = [piece async for piece in run.pieces(self._deadline(parsed))]
+    def _whole(
+        self, parsed: request.ModelRequest, run: models.ModelRun, began: float, pieces: list[bytes]
+    ) -> web.Response:
         choices = models.add_pieces(pieces)
         self._note_answer(parsed, run, began)
         body = {
--- a/berylrock/daemons/entry/context.py
+++ b/berylrock/daemons/entry/context.py
@@ -5,7 +5,7 @@
 from berylrock.daemons import kernel
 from berylrock.daemons.entry import peers, placement
 from berylrock.loader import settings
-from berylrock.ops import budget, claims, fleet, ledger, sessions, verdicts
+from berylrock.ops import budget, cascades, claims, fleet, ledger, sessions, verdicts
 from berylrock.plugins import registry
 
 __all__ = ["Context"]
@@ -26,6 +26,7 @@
       sessions: Versions of sessions that come without a token.
       fleet: What the fleet has learned.
       verdicts: Evidence against versions.
+      cascades: Plans cascades.
     """
 
     cfg: settings.EntrySettings
@@ -39,3 +40,4 @@
     sessions: sessions.SessionTable
     fleet: fleet.Fleet
     verdicts: verdicts.Verdict
+    cascades: cascades.Cascades
--- a/berylrock/daemons/entry/models.py
+++ b/berylrock/daemons/entry/models.py
@@ -59,8 +59,10 @@
       passed_on: Whether any attempt may have reached an engine.
     """
 
-    def __init__(self, ctx: context.Context, req: request.ModelRequest) -> None:
+    def __init__(self, ctx: context.Context, req: request.ModelRequest, step: int = 0) -> None:
+        """Prepare to run a request, or one step of its cascade."""
         self._ctx = ctx
+        self._step = step
         self._req = req
         self._text = bytearray()
         self._pieces = 0
@@ -189,7 +191,7 @@
             tokens=req.tokens,
             priority=req.caller.priority,
             fingerprint=req.fingerprint,
-            billing_key=billing_key(req.caller, req.fingerprint),
+            billing_key=billing_key(req.caller, req.fingerprint, self._step),
             resume_tokens=self._pieces,
             resume_text=self.text,
         )
--- a/berylrock/daemons/entry/process.py
+++ b/berylrock/daemons/entry/process.py
@@ -12,7 +12,7 @@
 from berylrock.daemons import admin, kernel, stopping
 from berylrock.daemons.entry import callers, context, controller, peers, placement
 from berylrock.loader import settings
-from berylrock.ops import budget, claims, configuration, fleet, ledger, sessions, verdicts
+from berylrock.ops import budget, cascades, claims, configuration, fleet, ledger, sessions, verdicts
 from berylrock.plugins import registry
 
 __all__ = ["Entry", "run"]
@@ -55,6 +55,7 @@
             sessions.SessionTable(parts.objects),
             fleet.Fleet(parts.objects, cfg.platform.environment, parts.log),
             verdicts.Verdict(),
+            cascades.Cascades(),
         )
         self._callers = callers.Callers(self._ctx, self._submit)
         self._controller = controller.Controller(self._ctx)
@@ -160,7 +161,7 @@
         while True:
             try:
                 stored = await self._parts.objects.watch(
-                    configuration.OBJECT_KIND, name, config.version, WATCH_SECONDS
+                    configuration.OBJECT_KIND, name, config.seen, WATCH_SECONDS
                 )
             except errors.StoreUnavailable:
                 await asyncio.sleep(ERROR_PAUSE_SECONDS)
--- a/berylrock/daemons/sidecar/runner.py
+++ b/berylrock/daemons/sidecar/runner.py
@@ -14,6 +14,7 @@
 __all__ = ["Runner", "UnstoredBill"]
 
 READER_PATIENCE_SECONDS = 5.0
+UNREPEATABLE_PATIENCE_SECONDS = 120.0
 CALL_PIECE_BYTES = 65_536
 MAX_ANSWER_BYTES = 4_000_000
 STALLED = "backend server sent nothing for too long"
@@ -204,14 +205,19 @@
                         self.admission.note_first_token(run.start.attempt)
                     await run.put(item.choices, READER_PATIENCE_SECONDS)
                 elif isinstance(item, interfaces.Finished):
-                    return self._end(run, message.Outcome.DONE, "", item.prompt_tokens, item.tokens)
+                    end = self._end(run, message.Outcome.DONE, "", item.prompt_tokens, item.tokens)
+                    return end._replace(confidence=item.confidence)
         finally:
             await _close_events(events)
 
     async def _run_call(self, run: runs.Run) -> message.End:
         server: interfaces.PlainServer = self.backend.server  # type: ignore[assignment]
         start = run.start
-        async with asyncio.timeout(start.timeout_ms / 1000.0):
+        patience = start.timeout_ms / 1000.0
+        if not start.repeatable:
+            # It may have taken effect, so its answer is wanted though its caller gave up.
+            patience += UNREPEATABLE_PATIENCE_SECONDS
+        async with asyncio.timeout(patience):
             answer = await server.call(start, MAX_ANSWER_BYTES)
         self.admission.note_first_token(start.attempt)
         for position in range(0, len(answer.body), CALL_PIECE_BYTES):
--- a/berylrock/ops/configuration.py
+++ b/berylrock/ops/configuration.py
@@ -27,6 +27,11 @@
         self._rejected = 0
         self._subscribers: list[Callable[[], None]] = []
 
+    @property
+    def seen(self) -> int:
+        """The highest version looked at, be it in force or rejected."""
+        return max(self.version, self._rejected)
+
     def subscribe(self, action: Callable[[], None]) -> None:
         """Call an action after each change."""
         self._subscribers.append(action)
@@ -42,7 +47,7 @@
         Returns:
           Whether it is now in force.
         """
-        if version <= max(self.version, self._rejected) or not body:
+        if version <= self.seen or not body:
             return False
         doc, found = document.load(body.decode("utf-8", "replace"), f"config version {version}")
         if doc is None:
--- a/berylrock/ops/explaining.py
+++ b/berylrock/ops/explaining.py
@@ -68,6 +68,7 @@
         "request_refused": "{process} told the caller {outcome}: {reason}, {detail}",
         "answer_cut": "{process} told the caller that the answer is not whole: {detail}",
         "caller_left": "the caller of {process} went away",
+        "cascade_step": "{process} asked {target} first: {why}",
         "version_chosen": "{process} chose {target}: {why}",
         "claim_settled": "{process} stored its outcome: {state}",
     }
--- a/berylrock/scripts/configure.py
+++ b/berylrock/scripts/configure.py
@@ -40,6 +40,14 @@
 
 def add_commands(commands: Any) -> None:
     """Add the subcommands to the command line."""
+    _add_document_commands(commands)
+    _add_change_commands(commands)
+    key = commands.add_parser("key", help="make a caller key and its digest for the document")
+    key.set_defaults(run=_key)
+
+
+def _add_document_commands(commands: Any) -> None:
+    """Add the subcommands that take or move a whole document."""
     check = commands.add_parser("check", help="check a document and print all its errors")
     check.add_argument("document", help="file of JSON with comments")
     check.add_argument("--json", action="store_true", help="print JSON for programs")
@@ -72,6 +80,9 @@
     _add_common(promote)
     promote.set_defaults(run=_promote)
 
+
+def _add_change_commands(commands: Any) -> None:
+    """Add the subcommands that change one thing in the document in force."""
     zone = commands.add_parser("zone", help="take an availability zone out, or in again")
     zone.add_argument("action", choices=("out", "in"))
     zone.add_argument("zone")
@@ -94,9 +105,6 @@
     _add_common(rollout)
     rollout.set_defaults(run=_rollout)
 
-    key = commands.add_parser("key", help="make a caller key and its digest for the document")
-    key.set_defaults(run=_key)
-
 
 def _objects(where: settings.PlatformSettings) -> interfaces.Objects:
     return platform.HttpObjects(where.objects_url, metrics.Metrics("", "operator"))
--- a/berylrock/standins/engine.py
+++ b/berylrock/standins/engine.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import os
+import random
 import secrets
 from typing import Any, NamedTuple
 
@@ -24,6 +25,9 @@
 CRASH_DELAY_SECONDS = 0.1
 CHARS_PER_TOKEN = 4
 FELL_STATUS = 70
+DEFAULT_QUALITY = 0.8
+QUALITY_SPREAD = 0.12
+CONFIDENCE_NOISE = 0.05
 
 
 class EngineOptions(NamedTuple):
@@ -43,6 +47,7 @@
       cold_factor: By how much a cold engine's first token is later.
       checks_fencing: Whether it refuses an order with an old fencing number.
       load_seconds: Time to load a version.
+      quality: True quality of each version's answers, 0 to 1; each answer varies around it.
     """
 
     name: str
@@ -58,6 +63,7 @@
     cold_factor: float = 10.0
     checks_fencing: bool = False
     load_seconds: float = 0.2
+    quality: dict[str, float] = {}
 
 
 def _prompt_text(body: dict[str, Any]) -> str:
@@ -166,7 +172,8 @@
                 self._fall("request crashed the engine")
             await response.prepare(req)
             await self._generate(response, body, prompt, ticket)
-            self._record.write("done", request=request_id, version=body["model"])
+            quality = self._draw_quality(body["model"], prompt)
+            self._record.write("done", request=request_id, version=body["model"], quality=quality)
         except (ConnectionError, asyncio.CancelledError):
             self._record.write("cancelled", request=request_id, version=body["model"])
         finally:
@@ -206,11 +213,25 @@
             choice = {"index": 0, "delta": {"content": f"{bad}{mark}-{index} "}}
             event = json.dumps({"choices": [choice]})
             await response.write(f"data: {event}\n\n".encode())
-        await self._finish(response, prompt, total)
+        quality = self._draw_quality(body["model"], prompt)
+        await self._finish(response, prompt, total, quality)
 
-    async def _finish(self, response: web.StreamResponse, prompt: str, total: int) -> None:
+    def _draw_quality(self, version: str, prompt: str) -> float:
+        """The true quality of one answer, the same each time it is asked for."""
+        rng = random.Random(f"{version}-{prompt}")
+        middle = self._options.quality.get(version, DEFAULT_QUALITY)
+        return min(1.0, max(0.0, rng.gauss(middle, QUALITY_SPREAD)))
+
+    async def _finish(
+        self, response: web.StreamResponse, prompt: str, total: int, quality: float
+    ) -> None:
         last = [{"index": 0, "delta": {}, "finish_reason": "length"}]
-        usage = {"prompt_tokens": len(prompt) // CHARS_PER_TOKEN + 1, "completion_tokens": total}
+        noise = random.Random(f"confidence-{prompt}").gauss(0.0, CONFIDENCE_NOISE)
+        usage = {
+            "prompt_tokens": len(prompt) // CHARS_PER_TOKEN + 1,
+            "completion_tokens": total,
+            "confidence": min(1.0, max(0.0, quality + noise)),
+        }
         event = json.dumps({"choices": last})
         closing = json.dumps({"choices": [], "usage": usage})
         await response.write(f"data: {event}\n\ndata: {closing}\n\ndata: [DONE]\n\n".encode())
--- a/berylrock/standins/fleet.py
+++ b/berylrock/standins/fleet.py
@@ -7,13 +7,10 @@
 import contextlib
 import functools
 import json
-import os
 import pathlib
 import random
 import signal
-import subprocess
 import sys
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -22,8 +19,9 @@
 from berylrock.core import data
 from berylrock.daemons import admin
 from berylrock.loader import document
+from berylrock.standins import processes
 
-__all__ = ["Fleet", "FleetOptions", "FleetError", "OPERATOR_KEY", "Process"]
+__all__ = ["OPERATOR_KEY", "Fleet", "FleetOptions"]
 
 OPERATOR_KEY = "operator-key"
 SECRET = "fleet-secret"
@@ -37,11 +35,6 @@
 )
 START_SECONDS = 60.0
 STOP_SECONDS = 15.0
-POLL_SECONDS = 0.05
-
-
-class FleetError(Exception):
-    """The fleet did not come up or a wait ran out; the message says what was waited for."""
 
 
 class FleetOptions(NamedTuple):
@@ -74,36 +67,6 @@
     sidecar: dict[str, Any] = {}
 
 
-class Process:
-    """One started process."""
-
-    def __init__(self, name: str, command: list[str], log: pathlib.Path, address: str) -> None:
-        self.name = name
-        self.command = command
-        self.log = log
-        self.address = address
-        self.popen = self._start()
-
-    def _start(self) -> subprocess.Popen[bytes]:
-        with self.log.open("ab") as file:
-            return subprocess.Popen(self.command, stdout=file, stderr=file)
-
-    def restart(self) -> None:
-        """Start it anew after it has ended."""
-        self.popen.wait()
-        self.popen = self._start()
-
-    def signal(self, number: int) -> None:
-        """Send a signal, if it still runs."""
-        if self.popen.poll() is None:
-            os.kill(self.popen.pid, number)
-
-    def kill(self) -> None:
-        """End it at once."""
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-
 class Fleet:
     """A running deployment.
 
@@ -121,9 +84,9 @@
         self.text = pathlib.Path(options.document).read_text(encoding="utf-8")
         doc, found = document.load(self.text, options.document)
         if doc is None:
-            raise FleetError("\n".join(str(item) for item in found))
+            raise processes.FleetError("\n".join(str(item) for item in found))
         self.doc: data.Document = doc
-        self.processes: dict[str, Process] = {}
+        self.processes: dict[str, processes.Process] = {}
         self.servers: dict[str, dict[str, Any]] = {}
         self.record = str(self.root / "record.jsonl")
         self._network = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
@@ -142,11 +105,10 @@
         path.write_text(json.dumps(value, indent=1), encoding="utf-8")
         return str(path)
 
-    def _spawn(self, name: str, words: list[str], value: dict[str, Any], address: str) -> Process:
+    def _spawn(self, name: str, words: list[str], value: dict[str, Any], address: str) -> None:
         command = [sys.executable, "-m", "berylrock", *words, self._write(name, value)]
-        process = Process(name, command, self.root / f"{name}.log", address)
-        self.processes[name] = process
-        return process
+        log = self.root / f"{name}.log"
+        self.processes[name] = processes.Process(name, command, log, address)
 
     # Starting
 
@@ -205,7 +167,12 @@
                 for model in self.doc.models
                 for version in model.versions
             ]
-            options = {**common, "loaded": loaded, **self.options.engine}
+            quality = {
+                f"{model.name}@{version.name}": version.quality[data.DEFAULT_KIND]
+                for model in self.doc.models
+                for version in model.versions
+            }
+            options = {**common, "loaded": loaded, "quality": quality, **self.options.engine}
             self._spawn(f"{name}.backend", ["standin", "engine"], options, address)
         else:
             options = {**common, **self.options.service}
@@ -360,13 +327,7 @@
         Raises:
           FleetError: It did not come to hold in time.
         """
-        deadline = time.monotonic() + seconds
-        while time.monotonic() < deadline:
-            value = condition()
-            if value:
-                return value
-            time.sleep(POLL_SECONDS)
-        raise FleetError(f"waited {seconds:g} s in vain for {what}; see the logs in {self.root}")
+        return processes.wait(condition, what, seconds, self.root)
 
     def wait_ready(self) -> None:
         """Wait until every process is ready and every entry process has every server."""
--- a/berylrock/wire/schema.capnp
+++ b/berylrock/wire/schema.capnp
@@ -50,6 +50,7 @@
   promptTokens @5 :UInt32;
   tokens @6 :UInt32;
   detail @7 :Text;
+  confidence @8 :Float64;
 }
 struct Window { attempt @0 :Text; offset @1 :UInt32; }
 struct Attach { attempt @0 :Text; offset @1 :UInt32; }
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -5,7 +5,7 @@
 import threading
 
 from behave import then, when
-from support import fleets, traffic, versions
+from support import fleets, records, traffic, versions
 
 from berylrock.core import message
 from berylrock.standins import fleet, record
@@ -27,6 +27,39 @@
     traffic.wait_under_way(context, "start", before, count)
 
 
+@when("cascades are allowed to {organisation:Word}")
+def step_cascade(context, organisation):
+    """Set the organisation's cascade in the document in force."""
+    fleets.change_config(context, versions.allow_cascade, organisation)
+    fleets.wait_in_force(context)
+
+
+@when("{organisation:Word} sends {count:d} whole chats of {tokens:d} tokens")
+def step_whole(context, organisation, count, tokens):
+    """Send chats that are answered whole, not as streams."""
+    versions.send_as(context, organisation, count, tokens, stream=False)
+    traffic.finish(context)
+
+
+@then("some answers came from one step and some from two")
+def step_steps(context):
+    """The cascade was left at both places."""
+    lengths = {len(versions.read_steps(result)) for result, _ in context.results}
+    assert lengths == {1, 2}, lengths
+
+
+@then("the ledger has one bill for each step that ran")
+def step_step_bills(context):
+    """Each step is billed once, to the version that ran it."""
+    bills = [(bill.request_id, bill.target) for bill in records.read_bills(context)]
+    asked = [
+        (result.request_id, version)
+        for result, _ in context.results
+        for version in versions.read_steps(result)
+    ]
+    assert sorted(bills) == sorted(asked), (bills, asked)
+
+
 @when("{organisation:Word} asks for {version:Version}")
 def step_asks(context, organisation, version):
     """Send one chat for a version; it is judged apart from the others."""
--- a/features/support/versions.py
+++ b/features/support/versions.py
@@ -59,3 +59,14 @@
             if controller.get("held"):
                 return controller["fence"]
     return None
+
+
+def allow_cascade(text, doc, organisation):
+    """The document with an organisation's cascade allowed."""
+    return text.replace(f'"name": "{organisation}",', f'"name": "{organisation}", "cascade": true,')
+
+
+def read_steps(result):
+    """The versions that were asked for an answer."""
+    alone = result.headers["X-Berylrock-Version"]
+    return result.headers.get("X-Berylrock-Cascade", alone).split(",")
--- a/features/versions.feature
+++ b/features/versions.feature
@@ -117,3 +117,12 @@
     And the frozen holder is thawed
     And an order of the old holder reaches engine-1
     Then no order of the old fencing number took effect
+
+  @promise.billed @promise.allowed
+  Scenario: A cascade asks the cheap version first, goes up where it falls short, and bills each step
+    Given the ferrante deployment
+    When cascades are allowed to infusion
+    And infusion sends 40 whole chats of 4 tokens
+    Then all requests are answered
+    And some answers came from one step and some from two
+    And the ledger has one bill for each step that ran
