Bench the cascade, and drop an argument that nothing read

Ruled out: judging quality by the confidence itself; the margin comes from the stand-ins' own record of each answer's true quality. Conclusion: no behaviour changed.

--- a/berylrock/bench/experiments.py
+++ b/berylrock/bench/experiments.py
@@ -12,11 +12,12 @@
 from berylrock.core import data, message, metrics
 from berylrock.loader import document, editing
 from berylrock.ops import ledger, verdicts
-from berylrock.standins import fleet
+from berylrock.standins import fleet, record
 
 __all__ = [
     "POLICIES",
     "PolicyResult",
+    "measure_cascade",
     "measure_control",
     "measure_exposure",
     "measure_policy",
@@ -31,6 +32,8 @@
 EXPOSURE_RATE_FACTOR = 2.0
 ZONE_SECONDS = 10.0
 READERS = 100
+CASCADE_ANSWERS = 240
+CASCADE_RATE = 20.0
 READER_TOKENS = 8000
 IDLE_SECONDS = 10.0
 ENGINE = {"token_seconds": 0.02, "first_token_seconds": 0.1, "capacity_tokens": 8000}
@@ -155,6 +158,57 @@
     )
 
 
+class CascadeResult(NamedTuple):
+    """What whole answers cost and how good they truly were.
+
+    Attributes:
+      cost_per_answer: Euro for a thousand answers, all steps counted.
+      margin: Mean true quality above the organisation's target.
+    """
+
+    cost_per_answer: float
+    margin: float
+
+
+def measure_cascade(
+    deployment: deployments.Deployment, policy: str, cascade: bool, seed: int
+) -> CascadeResult:
+    """Measure whole answers of one organisation with a high target."""
+    mix = deployment.mixes[0]
+    with tempfile.TemporaryDirectory() as root:
+        with fleet.Fleet(_options(deployment, root, POLICIES[policy])) as running:
+            if cascade:
+                name = f'"name": "{mix.organisation}",'
+                running.put_config(running.text.replace(name, f'{name} "cascade": true,'))
+                running.wait_config(running.config_version, 10.0)
+            url = running.caller_url("entry-1")
+            key = f"{deployment.name}-key-{mix.organisation}"
+            jobs = [
+                load.Job(
+                    index / CASCADE_RATE,
+                    url,
+                    key,
+                    f"whole-{index}",
+                    f"dossier {seed} {index}",
+                    20,
+                    stream=False,
+                )
+                for index in range(CASCADE_ANSWERS)
+            ]
+            asyncio.run(load.Load().run(jobs))
+            bills = _read_bills(running)
+            doc = running.doc
+            rows = record.read(running.record)
+    target = next(item for item in doc.organisations if item.name == mix.organisation).quality
+    last = {row["request"]: row["quality"] for row in rows if row["event"] == "done"}
+    euro = 0.0
+    for bill in bills:
+        version = verdicts.find_version(doc, bill.target)
+        euro += bill.tokens * version.cost_per_million / 1e6 if version else 0.0
+    margin = sum(last.values()) / max(1, len(last)) - target[data.DEFAULT_KIND]
+    return CascadeResult(euro / max(1, len(last)) * 1000.0, margin)
+
+
 class ExposureResult(NamedTuple):
     """What a version that turned bad did.
 
--- a/berylrock/bench/load.py
+++ b/berylrock/bench/load.py
@@ -35,6 +35,7 @@
       path: Path of a lookup.
       kind: Kind of request.
       session: Session header.
+      stream: Whether a chat's answer is streamed.
     """
 
     at: float
@@ -46,6 +47,7 @@
     path: str = ""
     kind: str = "default"
     session: str = ""
+    stream: bool = True
 
 
 class Answered(NamedTuple):
@@ -146,7 +148,7 @@
             "model": "auto",
             "messages": [{"role": "user", "content": job.prompt}],
             "max_tokens": job.tokens,
-            "stream": True,
+            "stream": job.stream,
         }
         sent = loop.time()
         url = f"{job.url}/v1/chat/completions"
@@ -156,6 +158,9 @@
             version = resp.headers.get("X-Berylrock-Version", "")
             first = last = 0.0
             ended = bad = False
+            if not job.stream:
+                await resp.read()
+                ended = outcome == "done"
             async for line in _lines(resp):
                 now = loop.time()
                 if line.startswith(b"data: [DONE]"):
--- a/berylrock/scripts/bench.py
+++ b/berylrock/scripts/bench.py
@@ -10,7 +10,16 @@
 
 __all__ = ["add_commands"]
 
-EXPERIMENTS = ("policy", "exposure", "zone", "readers", "control", "streaming", "capacity")
+EXPERIMENTS = (
+    "policy",
+    "cascade",
+    "exposure",
+    "zone",
+    "readers",
+    "control",
+    "streaming",
+    "capacity",
+)
 
 
 def add_commands(commands: Any) -> None:
@@ -63,6 +72,25 @@
             _line(deployment.name, f"{row}-vs-{name}", *values)
 
 
+def _bench_cascade(deployment: deployments.Deployment, seeds: list[int]) -> None:
+    measure = experiments.measure_cascade
+    ours = [measure(deployment, "ours", True, seed) for seed in seeds]
+    for name, policy in (("single", "ours"), ("always-best", "always-best")):
+        theirs = [measure(deployment, policy, False, seed) for seed in seeds]
+        _line(
+            deployment.name,
+            f"cascade-cost-per-thousand-vs-{name}",
+            [item.cost_per_answer for item in ours],
+            [item.cost_per_answer for item in theirs],
+        )
+        _line(
+            deployment.name,
+            f"cascade-quality-margin-vs-{name}",
+            [item.margin for item in ours],
+            [item.margin for item in theirs],
+        )
+
+
 def _bench_exposure(deployment: deployments.Deployment, seeds: list[int]) -> None:
     found = [experiments.measure_exposure(deployment, seed) for seed in seeds]
     _line(
@@ -133,6 +161,8 @@
         deployment = deployments.DEPLOYMENTS[name]
         if "policy" in wanted:
             _bench_policies(deployment, seeds)
+        if "cascade" in wanted:
+            _bench_cascade(deployment, seeds)
         if "exposure" in wanted:
             _bench_exposure(deployment, seeds)
         if "zone" in wanted:
--- a/berylrock/scripts/configure.py
+++ b/berylrock/scripts/configure.py
@@ -187,9 +187,8 @@
 
 
 def _publish(
-    args: argparse.Namespace, text: str, where: settings.PlatformSettings, if_version: int
+    text: str, where: settings.PlatformSettings, if_version: int
 ) -> Coroutine[Any, Any, publishing.Published]:
-    del args
     return publishing.publish(
         _objects(where), where.environment, text.encode(), if_version, _progress
     )
@@ -208,7 +207,7 @@
             version = await publishing.read_version(
                 _objects(cfg.platform), cfg.platform.environment, _progress
             )
-        return _report(args, await _publish(args, text, cfg.platform, version))
+        return _report(args, await _publish(text, cfg.platform, version))
 
     return _run(args, work())
 
@@ -230,7 +229,7 @@
                 _objects(cfg.platform), cfg.platform.environment, _progress
             )
         text = tried.body.decode()
-        return _report(args, await _publish(args, text, cfg.platform, version))
+        return _report(args, await _publish(text, cfg.platform, version))
 
     return _run(args, work())
 
@@ -254,7 +253,7 @@
         doc, found = document.load(changed, configuration.OBJECT_KIND)
         if doc is None:
             return _print_errors(found, args.json)
-        return _report(args, await _publish(args, changed, cfg.platform, stored.version))
+        return _report(args, await _publish(changed, cfg.platform, stored.version))
 
     return _run(args, work())
 
