Send the bytes of a document that changed, and read it from the store but once in a while

Ruled out: a compressor with the old text as its dictionary (32 KB at most); a diff by lines (slow, and edits are in one place); documents in parts (they are promoted as one, byte for byte). Change: a peer one version behind gets prefix, middle, suffix and a digest; the watch tells the version only, and an entry process reads the document after a random share of a moment, unless a sidecar has brought it by then; a sidecar tells all its entry processes at once when its version grows. Conclusion: the bytes of a change no longer grow with the document.

--- a/berylrock/adapters/interfaces.py
+++ b/berylrock/adapters/interfaces.py
@@ -145,6 +145,9 @@
     async def watch(self, kind: str, name: str, after: int, seconds: float) -> Stored | None:
         """Wait for a version above ``after``; None if there was none in time."""
 
+    async def watch_version(self, kind: str, name: str, after: int, seconds: float) -> int | None:
+        """Wait for a version above ``after`` without reading it; None if there was none."""
+
     async def names(self, kind: str) -> tuple[str, ...]:
         """List the names of a kind's objects."""
 
--- a/berylrock/adapters/platform.py
+++ b/berylrock/adapters/platform.py
@@ -113,6 +113,14 @@
             return None
         return interfaces.Stored(int(resp.headers[VERSION_HEADER]), resp.data)
 
+    async def watch_version(self, kind: str, name: str, after: int, seconds: float) -> int | None:
+        """Wait for a version above ``after`` without reading it."""
+        url = f"{self._url(kind, name)}?after={after}&wait={seconds}&body=0"
+        resp = await self._client.call("GET", url, wait_seconds=seconds)
+        if resp.status in (NOT_MODIFIED, MISSING):
+            return None
+        return int(resp.headers[VERSION_HEADER])
+
     async def names(self, kind: str) -> tuple[str, ...]:
         """List the names of a kind's objects."""
         resp = await self._client.call("GET", f"{self._base}/objects/{kind}")
--- a/berylrock/bench/capacity.py
+++ b/berylrock/bench/capacity.py
@@ -177,7 +177,11 @@
         text = _make_document(count)
         sizes.append(float(len(text)))
         times.append(_time(functools.partial(document.load, text, "capacity"), 3) * 1000)
+    old = _make_document(TABLE_SIZES[0]).encode()
+    new = old.replace(b'"priority"', b'"p"').replace(b"zone-17", b"zone-99")
+    change = len(codec.encode(configuration.make_change(1, old, 2, new)))
     return [
+        Slope("size of a change of one word", "bytes", (0, 1), (0.0, float(change))),
         Slope("reading a document, by organisations", "ms", TABLE_SIZES, tuple(times)),
         Slope("a document's size, by organisations", "bytes", TABLE_SIZES, tuple(sizes)),
     ]
--- a/berylrock/core/message.py
+++ b/berylrock/core/message.py
@@ -15,6 +15,7 @@
     "Challenge",
     "Chunk",
     "Config",
+    "ConfigChange",
     "End",
     "Heartbeat",
     "Hello",
@@ -258,6 +259,26 @@
     tokens: int = 0
 
 
+class ConfigChange(NamedTuple):
+    """The part of a document that differs from an older version.
+
+    Attributes:
+      base: The version that the receiver must have.
+      version: The version that results.
+      prefix: Bytes that both begin with.
+      suffix: Bytes that both end with.
+      middle: What stands between them in the new version.
+      digest: SHA-256 of the new version's bytes.
+    """
+
+    base: int = 0
+    version: int = 0
+    prefix: int = 0
+    suffix: int = 0
+    middle: bytes = b""
+    digest: bytes = b""
+
+
 class BillsStored(NamedTuple):
     """The bills of these attempts are in the object API; the sidecar may forget them."""
 
@@ -355,6 +376,7 @@
     | OutcomeLeft
     | Strikes
     | Loaded
+    | ConfigChange
     | Order
     | OrderDone
 )
--- a/berylrock/daemons/entry/process.py
+++ b/berylrock/daemons/entry/process.py
@@ -21,6 +21,8 @@
 SEND_BUFFER_BYTES = 32_768
 WATCH_SECONDS = 2.0
 ERROR_PAUSE_SECONDS = 0.5
+FETCH_SHARE_SECONDS = 0.05
+FETCH_SPREAD_SECONDS = 1.0
 RATINGS_SECONDS = 0.5
 DRAIN_CHECK_SECONDS = 0.05
 BILL_PATIENCE_SECONDS = 5.0
@@ -64,7 +66,9 @@
 
     def _config_changed(self) -> None:
         config = self._parts.config
-        self._ctx.peers.broadcast(message.Config(config.version, config.body))
+        for peer in self._ctx.peers.peers.values():
+            if peer.report.config_version < config.version:
+                peer.send(config.message_for(peer.report.config_version))
 
     def _fleet_changed(self) -> None:
         strikes = [
@@ -84,7 +88,10 @@
             if msg.body:
                 config.offer(msg.version, msg.body, peer.server.name)
             else:
-                peer.send(message.Config(config.version, config.body))
+                peer.send(config.message_for(msg.version))
+        elif isinstance(msg, message.ConfigChange):
+            if not config.offer_change(msg, peer.server.name):
+                peer.send(message.Config(0, b""))
         elif isinstance(msg, message.Strikes):
             self._spread(msg)
         elif isinstance(msg, message.BillsLeft):
@@ -160,15 +167,29 @@
         name = self._cfg.platform.environment
         while True:
             try:
-                stored = await self._parts.objects.watch(
+                version = await self._parts.objects.watch_version(
                     configuration.OBJECT_KIND, name, config.seen, WATCH_SECONDS
                 )
-            except errors.StoreUnavailable:
-                await asyncio.sleep(ERROR_PAUSE_SECONDS)
-                continue
-            if stored is not None and not config.offer(stored.version, stored.body, "objects"):
+                if version is not None:
+                    await self._fetch_config(version)
+            except (errors.StoreUnavailable, errors.NotFound):
                 await asyncio.sleep(ERROR_PAUSE_SECONDS)
 
+    async def _fetch_config(self, version: int) -> None:
+        """Read the document, unless a sidecar brings it within this process's share of a moment.
+
+        So a large fleet does not read a large document all at once.
+        """
+        config = self._parts.config
+        if config.version:
+            share = random.random() * self._ctx.peers.entry_count()
+            await asyncio.sleep(min(FETCH_SPREAD_SECONDS, share * FETCH_SHARE_SECONDS))
+        if config.seen >= version:
+            return
+        kind, name = configuration.OBJECT_KIND, self._cfg.platform.environment
+        stored = await self._parts.objects.get(kind, name)
+        config.offer(stored.version, stored.body, "objects")
+
     async def _watch_fleet(self) -> None:
         while True:
             try:
--- a/berylrock/daemons/sidecar/peers.py
+++ b/berylrock/daemons/sidecar/peers.py
@@ -60,6 +60,7 @@
             message.Cancel: self._cancel,
             message.Heartbeat: self._heartbeat,
             message.Config: self._take_config,
+            message.ConfigChange: self._take_change,
             message.BillsStored: self._forget_bills,
             message.BillsLeft: self._keep_bills,
             message.Strikes: self._take_strikes,
@@ -205,13 +206,20 @@
         if msg.config_version > self._config.version:
             conn.send(message.Config(self._config.version, b""))
         elif msg.config_version < self._config.version:
-            conn.send(message.Config(self._config.version, self._config.body))
+            conn.send(self._config.message_for(msg.config_version))
 
     def _take_config(self, conn: link.Link, msg: message.Config) -> None:
         if not msg.body:
-            conn.send(message.Config(self._config.version, self._config.body))
+            conn.send(self._config.message_for(msg.version))
         elif self._config.offer(msg.version, msg.body, self.links[conn]):
-            conn.send(self.report())
+            self.broadcast(self.report())
+
+    def _take_change(self, conn: link.Link, msg: message.ConfigChange) -> None:
+        before = self._config.version
+        if not self._config.offer_change(msg, self.links[conn]):
+            conn.send(message.Config(0, b""))
+        elif self._config.version != before:
+            self.broadcast(self.report())
 
     def _forget_bills(self, _conn: link.Link, msg: message.BillsStored) -> None:
         for attempt in msg.attempts:
--- a/berylrock/standins/platform.py
+++ b/berylrock/standins/platform.py
@@ -127,6 +127,8 @@
         after = int(req.query.get("after", -1))
         if after >= 0:
             found = await self._wait(key, after, float(req.query.get("wait", 0)))
+            if found and req.query.get("body") == "0":
+                found = found._replace(body=b"")
             return self._respond(found) if found else web.Response(status=304)
         found = self._objects.get(key)
         return self._respond(found) if found else web.Response(status=404)
--- a/berylrock/wire/schema.capnp
+++ b/berylrock/wire/schema.capnp
@@ -56,6 +56,14 @@
 struct Attach { attempt @0 :Text; offset @1 :UInt32; }
 struct Cancel { attempt @0 :Text; }
 struct Config { version @0 :UInt64; body @1 :Data; }
+struct ConfigChange {
+  base @0 :UInt64;
+  version @1 :UInt64;
+  prefix @2 :UInt32;
+  suffix @3 :UInt32;
+  middle @4 :Data;
+  digest @5 :Data;
+}
 struct Bill {
   requestId @0 :Text;
   attempt @1 :Text;
@@ -101,5 +109,6 @@
     orderDone @17 :OrderDone;
     strikes @18 :Strikes;
     loaded @19 :Loaded;
+    configChange @20 :ConfigChange;
   }
 }
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -62,5 +62,6 @@
     Then every message survives encoding and decoding
     And no bytes make the codec fail in another way than by refusing them
     And an edited document differs only where it was edited
+    And a change of a document gives the new one, and nothing else does
     And every server of a large pool is chosen by some entry process
     And a session token of one organisation is worth nothing to another
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -1,5 +1,6 @@
 """Steps that draw many values and check properties."""
 
+import hashlib
 import string
 import typing
 
@@ -9,7 +10,7 @@
 
 from berylrock.core import data, errors, message
 from berylrock.loader import document, editing
-from berylrock.ops import sessions, subsets
+from berylrock.ops import configuration, sessions, subsets
 from berylrock.wire import codec
 
 DRAWS = 200
@@ -26,6 +27,8 @@
     if hint is int:
         limit = 2**16 - 1 if name == "status" else UINT32_MAX
         return strategies.integers(0, min(limit, 2**31 - 1))
+    if hint is float:
+        return strategies.floats(0.0, 1.0)
     if hint is bytes:
         return strategies.binary(max_size=200)
     if hint is str:
@@ -109,6 +112,22 @@
     check()
 
 
+@then("a change of a document gives the new one, and nothing else does")
+def step_change(context):
+    """Any two texts are joined by a change; on another base its digest does not match."""
+    texts = strategies.text(alphabet="ab", max_size=30).map(str.encode)
+
+    @run_draws
+    @hypothesis.given(texts, texts, texts)
+    def check(old, new, other):
+        change = configuration.make_change(1, old, 2, new)
+        assert configuration.apply_change(old, change) == new
+        applied = configuration.apply_change(other, change)
+        assert (applied == new) == (hashlib.sha256(applied).digest() == change.digest)
+
+    check()
+
+
 @then("every server of a large pool is chosen by some entry process")
 def step_subsets(context):
     """At the size to design for, few servers are left out and the spread is known."""
