--- a/berylrock/core/eventlog.py
+++ b/berylrock/core/eventlog.py
@@ -49,15 +49,18 @@
 
 
 class EventLog:
-    """A process's events: to standard error, and in memory for the time line."""
+    """A process's events: to a log handler, and in memory for the time line."""
 
-    def __init__(self, process: str) -> None:
+    def __init__(
+        self, process: str, handler: logging.Handler | None = None, kept: int = KEPT_EVENTS
+    ) -> None:
+        """Write to ``handler``, or to standard error; keep the last ``kept`` events."""
         self.process = process
-        self.events: collections.deque[Event] = collections.deque(maxlen=KEPT_EVENTS)
+        self.events: collections.deque[Event] = collections.deque(maxlen=kept)
         self._logger = logging.getLogger(f"berylrock.{process}")
         self._logger.propagate = False
         self._logger.setLevel(logging.INFO)
-        handler = logging.StreamHandler(sys.stderr)
+        handler = handler or logging.StreamHandler(sys.stderr)
         handler.setFormatter(KeyValueFormatter([]))
         self._logger.handlers = [handler]
 
--- /dev/null
+++ b/berylrock/daemons/gateway/admitting.py
@@ -0,0 +1,88 @@
+"""Decides from a request's head whether it may run, and where it is to go."""
+
+import hashlib
+from typing import NamedTuple
+
+from berylrock.core import routing
+from berylrock.daemons.gateway import context
+from berylrock.ops import freshness, routetable
+
+__all__ = ["Refused", "admit"]
+
+# The configuration has to be confirmed within the time in which a withdrawn key must stop, less
+# what a call to the store may take.
+FRESHNESS_MARGIN_S = 0.25
+# The answer is on its way before the caller stops waiting.
+EXPIRY_MARGIN_S = 0.03
+COME_BACK_S = 0.5
+
+
+class Refused(NamedTuple):
+    """An answer of the gateway's own; the request has not run.
+
+    Attributes:
+      status: HTTP status.
+      reason: Why, for the log.
+      retry_after_s: When the caller may come back; None if it need not.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+def _fingerprint(head: routing.RequestHead, organisation: str, body: bytes) -> str:
+    hasher = hashlib.blake2b(digest_size=12)
+    for item in (organisation.encode(), head.method.encode(), head.target.encode(), body):
+        hasher.update(len(item).to_bytes(8, "big"))
+        hasher.update(item)
+    return hasher.hexdigest()
+
+
+def admit(
+    ctx: context.Context, head: routing.RequestHead, body: bytes, received_at: float
+) -> routing.Request | Refused:
+    """Decide whether a request may run.
+
+    Args:
+      ctx: The gateway's state.
+      head: The request's head.
+      body: Its whole body.
+      received_at: When its last byte was read, on the loop's clock.
+
+    Returns:
+      The request, or why not.
+    """
+    table = ctx.table
+    if table is None or not ctx.engines_known:
+        return Refused(503, "no_configuration", COME_BACK_S)
+    age = ctx.fresh.age(freshness.suspended_clock())
+    if age > ctx.cfg.bounds.revoke_s - FRESHNESS_MARGIN_S:
+        return Refused(503, "configuration_too_old", COME_BACK_S)
+    route = table.find_route(head.host, head.target)
+    if route is None:
+        return Refused(404, "no_route")
+    organisation = table.find_organisation(head.key)
+    if not table.may_call(organisation, route):
+        return Refused(401, "unknown_key")
+    service = routetable.choose_service(route, head.session or head.id)
+    if service is None:
+        return Refused(503, "no_service", COME_BACK_S)
+    name = organisation.name if organisation is not None else ""
+    fingerprint = _fingerprint(head, name, body)
+    if ctx.strikes.is_refused(fingerprint):
+        return Refused(422, "crashes_engines")
+    waits_s = min(route.timeout_s, head.deadline_s or route.timeout_s)
+    if waits_s <= 0.0:
+        return Refused(503, "no_time_left")
+    return routing.Request(
+        head=head,
+        body=body,
+        route=route,
+        service=service,
+        organisation=organisation.name if organisation is not None else None,
+        received_at=received_at,
+        expires_at=received_at + waits_s - EXPIRY_MARGIN_S,
+        fingerprint=fingerprint,
+        config_version=table.config.version,
+    )
--- /dev/null
+++ b/berylrock/daemons/gateway/attempt.py
@@ -0,0 +1,264 @@
+"""One attempt at an engine: choose it, send the request, read the head of its answer."""
+
+import asyncio
+from typing import NamedTuple
+
+import h11
+
+from berylrock.adapters import http1
+from berylrock.core import routing
+from berylrock.daemons.gateway import context, pool
+from berylrock.ops import engineset, pacing, selection, staging
+from berylrock.platform import translating
+
+__all__ = ["Attempt", "Failure", "Opened", "Sender"]
+
+MAX_RUNNING_SHARE = 1.5
+LEAST_RUNNING = 4
+DEFAULT_BUSY_PAUSE_S = 0.15
+
+
+class Failure(NamedTuple):
+    """An attempt that gave no answer to pass on.
+
+    Attributes:
+      may_have_run: Whether the engine may have begun to run the request.
+      reason: What happened, for the log.
+    """
+
+    may_have_run: bool
+    reason: str
+
+
+class Attempt:
+    """A request at one engine, from its sending to its end.
+
+    Attributes:
+      state: The engine.
+      model: The model that was asked; empty if the caller named it.
+      sent_at: When it was sent, on the loop's clock.
+    """
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        conns: pool.Pool,
+        req: routing.Request,
+        state: engineset.EngineState,
+        model: str,
+    ) -> None:
+        self.state = state
+        self.model = model
+        self.sent_at = 0.0
+        self.link: http1.EngineLink | None = None
+        self._ctx = ctx
+        self._conns = conns
+        self._req = req
+        self._work = selection.size_of(req.head)
+        self._open = False
+
+    async def start(self, last_event: int | None, hang_s: float | None) -> "Opened | Failure":
+        """Send the request and read the head of the answer.
+
+        Args:
+          last_event: The last event that the caller has, to go on after it.
+          hang_s: Time after which a silent engine is given up; None to wait to the end.
+
+        Returns:
+          The answer's head, or why there is none.
+        """
+        loop = asyncio.get_running_loop()
+        engine, req = self.state.engine, self._req
+        self.sent_at = loop.time()
+        self._open = True
+        self.state.begin(self._work, self.sent_at)
+        sure = not routing.is_repeatable(req.route)
+        try:
+            self.link = await self._conns.take(engine, sure)
+        except http1.ConnectFailed as exc:
+            self.state.health.note_unreachable(loop.time())
+            self.end()
+            return Failure(False, f"unreachable: {exc}")
+        left_s = req.expires_at - loop.time()
+        order = routing.Order(engine.id, max(0.001, left_s), self.model, last_event)
+        headers = translating.write_order(req, order)
+        limit_s = max(0.01, left_s if hang_s is None else min(left_s, hang_s))
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.link.send(req.head.method, req.head.target, headers, req.body)
+                event = await self.link.next_event()
+        except TimeoutError:
+            return self._fail("silent")
+        except http1.AnswerBroken as exc:
+            return self._fail(f"broken: {exc}")
+        if not isinstance(event, h11.Response):
+            return self._fail("no head")
+        return await self._check(
+            translating.read_answer(event.status_code, event.headers.raw_items())
+        )
+
+    async def _check(self, head: translating.AnswerHead) -> "Opened | Failure":
+        """Find out whether the answer is one to this request, by an engine that ran it."""
+        now = asyncio.get_running_loop().time()
+        if head.request_id and head.request_id != self._req.head.id:
+            return self._fail("answer to another request")
+        if head.not_run:
+            pause = head.retry_after_s if head.retry_after_s is not None else DEFAULT_BUSY_PAUSE_S
+            if head.status != 400:
+                self.state.health.note_busy(now, min(1.0, pause))
+            await self._drop_rest(head)
+            return Failure(False, f"not run: {head.status}")
+        if not head.signed or head.encoded or head.request_id != self._req.head.id:
+            return self._fail(f"unsigned answer {head.status}")
+        return Opened(self, head, now)
+
+    async def _drop_rest(self, head: translating.AnswerHead) -> None:
+        """Read a refusal to its end, so that its connection can be used again."""
+        assert self.link is not None
+        try:
+            async with asyncio.timeout(0.2):
+                while not isinstance(await self.link.next_event(), h11.EndOfMessage):
+                    pass
+            self.end_whole(head)
+        except (TimeoutError, http1.AnswerBroken):
+            # The refusal stands; only its connection is lost.
+            self.end()
+
+    def _fail(self, reason: str) -> Failure:
+        self.state.health.note_failure(asyncio.get_running_loop().time())
+        self.end()
+        return Failure(True, reason)
+
+    def end(self) -> None:
+        """Give the attempt up: the engine drops what it still runs."""
+        if self._open:
+            self._open = False
+            self.state.end(self._work)
+            if self.link is not None:
+                self.link.close()
+
+    def end_whole(self, head: translating.AnswerHead) -> None:
+        """The answer was read whole: the connection may serve again."""
+        if self._open and self.link is not None:
+            self._open = False
+            self.state.end(self._work)
+            self.link.keep_s = head.keep_alive_s
+            self._conns.put_back(self.state.engine, self.link, head.closes)
+
+
+class Opened(NamedTuple):
+    """An attempt whose answer has begun.
+
+    Attributes:
+      attempt: The attempt.
+      head: The answer's head.
+      at: When it came, on the loop's clock.
+    """
+
+    attempt: Attempt
+    head: translating.AnswerHead
+    at: float
+
+
+class Sender:
+    """Chooses engines for one request and counts what it has used up.
+
+    Attributes:
+      tried: Engines that the request was sent to.
+      runs: Attempts that an engine may have run.
+      last_reason: Why the last attempt failed.
+    """
+
+    def __init__(self, ctx: context.Context, conns: pool.Pool, req: routing.Request) -> None:
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.sends = 0
+        self.last_reason = ""
+        self.version: str | None = None
+        self._ctx = ctx
+        self._conns = conns
+        self._req = req
+
+    @property
+    def runs_left(self) -> int:
+        """Engines that may still run the request."""
+        if not routing.is_repeatable(self._req.route):
+            return 0 if self.runs else 1
+        return self._req.route.max_attempts - self.runs
+
+    def may_repeat(self) -> bool:
+        """Spend one repeat of the service's retry budget, if this is one."""
+        if self.sends == 0:
+            return True
+        bounds, ctx = self._ctx.cfg.bounds, self._ctx
+        now = asyncio.get_running_loop().time()
+        extra = bounds.retry_extra / ctx.gateways()
+        budget = ctx.budget_for(self._req.service)
+        return budget.take(now, bounds.retry_ratio, bounds.retry_window_s, extra)
+
+    def choose(self, model: str) -> engineset.EngineState | None:
+        """Choose an engine of the version that the request's session is to have."""
+        ctx, req = self._ctx, self._req
+        table = ctx.table
+        if table is None or req.service not in table.services:
+            return None
+        service = table.services[req.service]
+        now = asyncio.get_running_loop().time()
+        version = self._choose_version(now)
+        states = [
+            item for item in ctx.engines.open_to(req.service) if item.engine.version == version
+        ]
+        slots = max((item.engine.slots for item in states), default=1)
+        share = max(LEAST_RUNNING, int(slots * MAX_RUNNING_SHARE / ctx.gateways()) + 1)
+        pick = selection.Pick(
+            zone=ctx.cfg.zone,
+            key=selection.affinity_key(req.head, model),
+            limit_per_s=pacing.share_per_second(service, ctx.cfg.bounds, ctx.gateways()),
+            max_running=share,
+            tried=frozenset(self.tried),
+            now=now,
+        )
+        return selection.choose(states, pick, ctx.rng)
+
+    def _choose_version(self, now: float) -> str | None:
+        """The version to run on; a request that moves on stays with its version if it can."""
+        ctx, req = self._ctx, self._req
+        plan = ctx.plan_for(req.service)
+        allowed = {plan.stable, plan.trial} - {None} - plan.forbidden
+        if self.version in allowed:
+            return self.version
+        session = req.head.session or req.head.id
+        kept = ctx.sessions.find(req.service, session, now, ctx.cfg.bounds.session_ttl_s + 1.0)
+        self.version = staging.plan_version(plan, req.service, session, kept)
+        return self.version
+
+    def note_session(self) -> None:
+        """Remember the version that the session's request runs on."""
+        session, version = self._req.head.session, self.version
+        if session and version is not None:
+            now = asyncio.get_running_loop().time()
+            self._ctx.sessions.note(self._req.service, session, version, now)
+
+    async def send(
+        self,
+        state: engineset.EngineState,
+        model: str,
+        last_event: int | None,
+        hang_s: float | None,
+    ) -> Opened | Failure:
+        """Send the request to an engine."""
+        self.sends += 1
+        self.note_session()
+        attempt = Attempt(self._ctx, self._conns, self._req, state, model)
+        # Counted from the start: the request may run from its first byte on.
+        self.runs += 1
+        self.tried.add(state.engine.id)
+        try:
+            result = await attempt.start(last_event, hang_s)
+        except BaseException:
+            attempt.end()
+            raise
+        if isinstance(result, Failure):
+            self.runs -= not result.may_have_run
+            self.last_reason = result.reason
+        return result
--- /dev/null
+++ b/berylrock/daemons/gateway/callers.py
@@ -0,0 +1,236 @@
+"""Serves callers' connections: one task each, one request at a time."""
+
+import asyncio
+import socket
+
+import h11
+
+from berylrock.adapters import http1
+from berylrock.core import routing
+from berylrock.daemons.gateway import admitting, answering, context, forwarding, pool, streaming
+from berylrock.platform import translating
+
+__all__ = ["Callers"]
+
+BACKLOG = 1024
+BODY_TIMEOUT_S = 10.0
+CLOSE_MARGIN_S = 0.5
+# After SIGTERM new connections cease once the balancer has noticed; kept ones are closed then.
+CLOSE_IDLE_AFTER_S = 2.2
+EXIT_MARGIN_S = 0.35
+DRAIN_CHECK_S = 0.05
+
+
+class Callers:
+    """The callers' side of the gateway.
+
+    Attributes:
+      active: Requests that are being served.
+    """
+
+    def __init__(self, ctx: context.Context, conns: pool.Pool) -> None:
+        self.active = 0
+        self._ctx = ctx
+        self._conns = conns
+        self._idle: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._closing = False
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = self._ctx.cfg.callers
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        self._server = await asyncio.start_server(self._serve, sock=sock, backlog=BACKLOG)
+
+    async def drain(self, stopped_at: float) -> None:
+        """Finish what runs after SIGTERM, close idle connections, and stop in time."""
+        loop = asyncio.get_running_loop()
+        end = stopped_at + self._ctx.cfg.bounds.grace_s - EXIT_MARGIN_S
+        await answering.sleep_until(stopped_at + CLOSE_IDLE_AFTER_S)
+        self._closing = True
+        for task in list(self._idle):
+            task.cancel()
+        while self.active and loop.time() < end:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        table = self._ctx.table
+        limits = table.config.limits if table is not None else routing.Limits()
+        link = http1.CallerLink(stream, writer, limits.header_bytes)
+        try:
+            await self._serve_link(link)
+        except (OSError, h11.LocalProtocolError) as exc:
+            self._ctx.log.write("caller_lost", error=repr(exc))
+        finally:
+            await link.close()
+
+    async def _serve_link(self, link: http1.CallerLink) -> None:
+        while True:
+            if not await self._wait_for_request(link):
+                return
+            self.active += 1
+            try:
+                again = await self._serve_request(link)
+            finally:
+                self.active -= 1
+            if not again or not link.reusable:
+                return
+            link.start_next()
+
+    async def _wait_for_request(self, link: http1.CallerLink) -> bool:
+        """Wait for the first byte of a request; False if none comes."""
+        if link.buffered or link.reader.has_data:
+            return True
+        if self._closing:
+            return False
+        table = self._ctx.table
+        limits = table.config.limits if table is not None else routing.Limits()
+        idle_s = max(limits.idle_s, self._ctx.idle_limit_s) + CLOSE_MARGIN_S
+        task = asyncio.create_task(link.reader.wait())
+        self._idle.add(task)
+        try:
+            async with asyncio.timeout(idle_s):
+                await task
+        except (TimeoutError, asyncio.CancelledError):
+            if asyncio.current_task().cancelling():  # type: ignore[union-attr]
+                raise
+            return link.reader.has_data
+        finally:
+            self._idle.discard(task)
+            task.cancel()
+        return link.reader.has_data
+
+    async def _serve_request(self, link: http1.CallerLink) -> bool:
+        """Serve one request; returns whether the connection stays."""
+        limits = self._ctx.table.config.limits if self._ctx.table else routing.Limits()
+        try:
+            async with asyncio.timeout(limits.header_s):
+                event = await link.next_event()
+        except TimeoutError:
+            return await self._reject(link, 408, "head was too slow")
+        except h11.RemoteProtocolError as exc:
+            return await self._reject(link, exc.error_status_hint, f"bad head: {exc}")
+        if not isinstance(event, h11.Request):
+            return False
+        raw = list(event.headers.raw_items())
+        names = [name.lower() for name, _ in raw]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            return await self._reject(link, 400, "both lengths")
+        head = translating.read_request(event.method, event.target, raw)
+        return await self._serve_head(link, head, limits)
+
+    async def _serve_head(
+        self, link: http1.CallerLink, head: routing.RequestHead, limits: routing.Limits
+    ) -> bool:
+        out = answering.Responder(link, head.id, self._closing or self._ctx.stopping)
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                body = await self._read_body(link, limits.body_bytes)
+        except TimeoutError:
+            return await self._reject(link, 408, "body was too slow")
+        except h11.RemoteProtocolError as exc:
+            return await self._reject(link, 400, f"bad body: {exc}")
+        if body is None:
+            return False
+        if len(body) > limits.body_bytes:
+            return await self._reject(link, 413, "body is too large")
+        received_at = asyncio.get_running_loop().time()
+        await self._answer(link, head, body, received_at, out)
+        if out.closes or not out.begun:
+            return False
+        return True
+
+    async def _read_body(self, link: http1.CallerLink, limit: int) -> bytes | None:
+        """Read a whole body; None if the caller left before its end."""
+        body = bytearray()
+        while True:
+            event = await link.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+            if len(body) > limit:
+                return bytes(body)
+
+    async def _reject(self, link: http1.CallerLink, status: int, reason: str) -> bool:
+        """Answer what is no proper request, and close."""
+        self._ctx.log.write("request_rejected", status=status, reason=reason)
+        out = answering.Responder(link, "", True)
+        if not link.answer_begun:
+            await out.refuse(status, reason)
+        return False
+
+    async def _answer(
+        self,
+        link: http1.CallerLink,
+        head: routing.RequestHead,
+        body: bytes,
+        received_at: float,
+        out: answering.Responder,
+    ) -> None:
+        req = admitting.admit(self._ctx, head, body, received_at)
+        if isinstance(req, admitting.Refused):
+            await out.refuse(req.status, req.reason, req.retry_after_s)
+            self._log_refused(head, req)
+            return
+        self._ctx.budget_for(req.service).note_request(received_at)
+        kind = streaming.StreamForwarding if req.route.kind == "stream" else forwarding.Forwarding
+        flow = kind(self._ctx, self._conns, req, out)
+        try:
+            await self._run(link, flow)
+        finally:
+            self._log_done(flow, received_at)
+
+    async def _run(self, link: http1.CallerLink, flow: forwarding.Forwarding) -> None:
+        """Run a request; stop it if its caller leaves and it may be repeated."""
+        work = asyncio.create_task(flow.run())
+        gone = asyncio.create_task(link.reader.ended.wait())
+        try:
+            await asyncio.wait((work, gone), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                if routing.is_repeatable(flow.req.route):
+                    work.cancel()
+                    flow.out.break_off("caller left")
+                await asyncio.wait((work,))
+            if not work.cancelled():
+                work.result()
+        finally:
+            gone.cancel()
+            if not work.done():
+                work.cancel()
+                await asyncio.wait((work,))
+
+    def _log_refused(self, head: routing.RequestHead, refused: admitting.Refused) -> None:
+        self._ctx.meter.count(f"refused_{refused.reason}")
+        self._ctx.log.write(
+            "request_refused",
+            request=head.id,
+            status=refused.status,
+            reason=refused.reason,
+            retry_after_s=refused.retry_after_s,
+            config=self._ctx.table.config.version if self._ctx.table else None,
+        )
+
+    def _log_done(self, flow: forwarding.Forwarding, received_at: float) -> None:
+        took_s = asyncio.get_running_loop().time() - received_at
+        self._ctx.times.note(f"answer_{flow.req.route.kind}", took_s)
+        self._ctx.meter.count(f"outcome_{flow.out.outcome.partition(' ')[0] or 'none'}")
+        self._ctx.log.write(
+            "request_done",
+            request=flow.req.head.id,
+            route=flow.req.route.name,
+            organisation=flow.req.organisation,
+            session=flow.req.head.session,
+            version=flow.sender.version,
+            engines=",".join(flow.sender.tried),
+            sends=flow.sender.sends,
+            outcome=flow.out.outcome,
+            last_failure=flow.sender.last_reason,
+            took_ms=int(took_s * 1000),
+            config=flow.req.config_version,
+        )
--- /dev/null
+++ b/berylrock/daemons/gateway/context.py
@@ -0,0 +1,102 @@
+"""What all parts of a gateway share."""
+
+import random
+
+from berylrock.core import errors, eventlog, histograms, metrics, routing, timer
+from berylrock.ops import (
+    budget,
+    engineset,
+    freshness,
+    norms,
+    routetable,
+    staging,
+    strikes,
+)
+from berylrock.platform import store
+
+__all__ = ["Context", "NotReady"]
+
+
+class NotReady(errors.BerylrockError):
+    """The gateway knows no configuration yet, or one that is too old to go by."""
+
+
+class Context:
+    """The state of a gateway.
+
+    Attributes:
+      cfg: Its settings.
+      log: Writes events.
+      meter: Counters.
+      times: Latency histograms.
+      timer: Runs tasks and calls back.
+      store: The platform's store.
+      rng: Random numbers for jitter and ties.
+      table: Look-ups in the configuration in force; None before the first.
+      fresh: How old the knowledge of the configuration is.
+      engines: The engines.
+      rollouts: Roll-outs by service.
+      vetoes: Targets that this gateway found bad, as ``(service, version)``.
+      evidence: Results by ``(service, version)``.
+      peers: The other gateways by name, with the time of their last heartbeat.
+      sessions: Versions of the sessions that are under way.
+      strikes: Requests that were held when an engine fell.
+      budgets: Retry budgets by service.
+      norms: Usual times of answers.
+      stopping: The process was told to stop.
+    """
+
+    def __init__(
+        self,
+        cfg: routing.GatewaySettings,
+        log: eventlog.EventLog,
+        meter: metrics.Metrics,
+        clock: timer.Timer,
+    ) -> None:
+        self.cfg = cfg
+        self.log = log
+        self.meter = meter
+        self.times = histograms.Histograms()
+        self.timer = clock
+        self.store = store.Store(cfg.store)
+        self.rng = random.Random()
+        self.table: routetable.RouteTable | None = None
+        self.fresh = freshness.Freshness()
+        self.engines = engineset.EngineSet()
+        self.engines_known = False
+        self.rollouts: dict[str, routing.Rollout] = {}
+        self.vetoes: set[tuple[str, str]] = set()
+        self.evidence: dict[tuple[str, str], staging.Evidence] = {}
+        self.peers: dict[str, tuple[routing.Peer, float]] = {}
+        self.sessions = staging.SessionVersions()
+        self.strikes = strikes.StrikeTable()
+        self.budgets: dict[str, budget.WindowBudget] = {}
+        self.norms = norms.Norms()
+        self.stopping = False
+        self.idle_limit_s = 0.0
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.table is not None and self.engines_known and not self.stopping
+
+    def gateways(self) -> int:
+        """Gateways that may be sending, this one included."""
+        return max(1, len(self.peers) + (self.cfg.name not in self.peers))
+
+    def budget_for(self, service: str) -> budget.WindowBudget:
+        """The retry budget of a service."""
+        return self.budgets.setdefault(service, budget.WindowBudget())
+
+    def plan_for(self, service: str) -> staging.Plan:
+        """Which versions of a service may get requests now."""
+        rollout = self.rollouts.get(service)
+        engines = [item.engine for item in self.engines.of_service(service)]
+        vetoed = rollout is not None and (service, rollout.target) in self.vetoes
+        return staging.make_plan(rollout, engines, vetoed)
+
+    def note_result(self, service: str, version: str, good: bool) -> None:
+        """Take the result of an answer as evidence for or against a version."""
+        key = (service, version)
+        old = self.evidence.get(key, staging.Evidence())
+        self.evidence[key] = staging.Evidence(old.answers + 1, old.bad + (not good))
--- /dev/null
+++ b/berylrock/daemons/gateway/control.py
@@ -0,0 +1,188 @@
+"""Moves roll-outs on and publishes this gateway's record, by conditional writes to the store."""
+
+import asyncio
+
+from berylrock.core import errors, routing
+from berylrock.daemons.gateway import context
+from berylrock.ops import freshness, staging
+from berylrock.platform import decoding, names
+
+__all__ = ["RolloutControl", "SelfRecord"]
+
+HEARTBEAT_S = 3.0
+EVIDENCE_S = 0.6
+# Gateways act one after the other, so that mostly one writes.
+TURN_S = 0.35
+
+
+class SelfRecord:
+    """This gateway's record in the store: heartbeat, evidence, suspects."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+        self._beat = 0
+        self._revision: int | None = None
+        self._written_at = 0.0
+        self._written: routing.Peer | None = None
+
+    def _make(self) -> routing.Peer:
+        ctx = self._ctx
+        running = {item.service for item in ctx.rollouts.values() if item.state == "running"}
+        evidence = {
+            f"{service} {version}": (item.answers, item.bad)
+            for (service, version), item in ctx.evidence.items()
+            if service in running
+        }
+        suspects: dict[str, tuple[str, ...]] = {}
+        for strike in ctx.strikes.all():
+            suspects[strike.fingerprint] = (*suspects.get(strike.fingerprint, ()), strike.fall)
+        return routing.Peer(ctx.cfg.name, self._beat, evidence, suspects, 0)
+
+    async def tend(self) -> None:
+        """Write the record if it is due or has news."""
+        now = freshness.suspended_clock()
+        record = self._make()
+        age = now - self._written_at
+        news = self._written is None or record.suspects != self._written.suspects
+        news = news or record.evidence != self._written.evidence  # type: ignore[union-attr]
+        if age < EVIDENCE_S or (age < HEARTBEAT_S and not news):
+            return
+        self._beat += 1
+        record = record._replace(beat=self._beat)
+        self._written_at = now
+        try:
+            await self._write(record)
+            self._written = record
+        except errors.Conflict:
+            await self._read_revision()
+        except (errors.StoreUnavailable, errors.NotFound) as exc:
+            self._revision = None
+            self._ctx.log.write("record_not_written", error=str(exc))
+
+    async def _write(self, record: routing.Peer) -> None:
+        spec, store = decoding.write_peer(record), self._ctx.store
+        if self._revision is None:
+            await self._read_revision()
+        if self._revision is None:
+            stored = await store.create(names.PEERS_KIND, record.name, spec)
+        else:
+            stored = await store.replace(names.PEERS_KIND, record.name, spec, self._revision)
+        self._revision = stored.revision if stored is not None else None
+
+    async def _read_revision(self) -> None:
+        try:
+            stored = await self._ctx.store.get(names.PEERS_KIND, self._ctx.cfg.name)
+            self._revision = stored.revision if stored is not None else None
+        except errors.StoreUnavailable as exc:
+            self._ctx.log.write("record_not_read", error=str(exc))
+
+    async def withdraw(self) -> None:
+        """Take the record back at a planned stop, so that the others need not wait."""
+        if self._revision is None:
+            return
+        try:
+            await self._ctx.store.delete(names.PEERS_KIND, self._ctx.cfg.name, self._revision)
+        except errors.BerylrockError as exc:
+            self._ctx.log.write("record_not_withdrawn", error=str(exc))
+
+
+class _Progress:
+    """When this gateway first saw an order and its stage, by the loop's clock."""
+
+    def __init__(self, target: str, now: float) -> None:
+        self.target = target
+        self.seen_at = now
+        self.stage = -1
+        self.stage_at = now
+
+
+class RolloutControl:
+    """Decides on each roll-out from what all gateways have seen."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+        self._progress: dict[str, _Progress] = {}
+
+    def _turn(self) -> int:
+        """This gateway's place among those that live, from 0."""
+        live = sorted({*self._ctx.peers, self._ctx.cfg.name})
+        return live.index(self._ctx.cfg.name)
+
+    def _pool(self, service: str, version: str | None) -> staging.Evidence:
+        """Results of a version, of this gateway and the others."""
+        own = self._ctx.evidence.get((service, version or ""), staging.Evidence())
+        answers, bad = own.answers, own.bad
+        for name, (peer, _) in self._ctx.peers.items():
+            if name != self._ctx.cfg.name:
+                more = peer.evidence.get(f"{service} {version}", (0, 0))
+                answers, bad = answers + more[0], bad + more[1]
+        return staging.Evidence(answers, bad)
+
+    async def tend(self) -> None:
+        """Look at every roll-out."""
+        for rollout in list(self._ctx.rollouts.values()):
+            if rollout.state in ("new", "running"):
+                await self._tend_one(rollout)
+
+    async def _tend_one(self, rollout: routing.Rollout) -> None:
+        ctx = self._ctx
+        now = asyncio.get_running_loop().time()
+        progress = self._progress.get(rollout.service)
+        if progress is None or progress.target != rollout.target:
+            progress = _Progress(rollout.target, now)
+            self._progress[rollout.service] = progress
+            ctx.evidence.clear()
+        if progress.stage != rollout.stage:
+            progress.stage, progress.stage_at = rollout.stage, now
+        engines = [item.engine for item in ctx.engines.of_service(rollout.service)]
+        stable = staging.baseline_version(
+            [item for item in engines if item.version != rollout.target]
+        )
+        trial = self._pool(rollout.service, rollout.target)
+        usual = self._pool(rollout.service, stable)
+        key = (rollout.service, rollout.target)
+        if key not in ctx.vetoes and staging.looks_bad(trial, usual):
+            ctx.vetoes.add(key)
+            ctx.log.write(
+                "version_vetoed",
+                service=rollout.service,
+                target=rollout.target,
+                trial=f"{trial.bad}/{trial.answers}",
+                usual=f"{usual.bad}/{usual.answers}",
+            )
+        late_s = 0.0 if key in ctx.vetoes else self._turn() * TURN_S
+        verdict = staging.decide(
+            rollout, trial, usual, now - progress.seen_at - late_s, now - progress.stage_at - late_s
+        )
+        if key in ctx.vetoes:
+            verdict = staging.Verdict("reverted", rollout.stage, "vetoed here")
+        if verdict is not None:
+            await self._write(rollout, verdict)
+
+    async def _write(self, rollout: routing.Rollout, verdict: staging.Verdict) -> None:
+        wanted = rollout._replace(state=verdict.state, stage=verdict.stage)
+        status = decoding.write_rollout_status(wanted)
+        outcome = "written"
+        try:
+            stored = await self._ctx.store.set_status(
+                names.ROLLOUTS_KIND, rollout.service, status, rollout.revision
+            )
+            if stored is not None:
+                self._take(decoding.read_rollout(stored))
+        except errors.BerylrockError as exc:
+            # The watch brings the state as it is; a write that was lost is then made again.
+            outcome = str(exc)
+        self._ctx.log.write(
+            "rollout_decided",
+            service=rollout.service,
+            target=rollout.target,
+            state=verdict.state,
+            stage=verdict.stage,
+            reason=verdict.reason,
+            outcome=outcome,
+        )
+
+    def _take(self, rollout: routing.Rollout | None) -> None:
+        known = self._ctx.rollouts.get(rollout.service) if rollout is not None else None
+        if rollout is not None and (known is None or known.revision < rollout.revision):
+            self._ctx.rollouts[rollout.service] = rollout
--- /dev/null
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -0,0 +1,146 @@
+"""Takes one request through its attempts, to an answer or a refusal."""
+
+import asyncio
+
+import h11
+
+from berylrock.adapters import http1
+from berylrock.core import routing
+from berylrock.daemons.gateway import answering, attempt, context, pool
+from berylrock.ops import engineset
+
+__all__ = ["Forwarding"]
+
+MAX_ANSWER_BYTES = 8_388_608
+SERVER_ERROR = 500
+# Time that a request may wait for an engine that can take it, as a share of its objective.
+WAIT_SHARE = 0.12
+WAIT_STEP_S = 0.015
+COME_BACK_S = 0.4
+HANG_SHARE = 0.7
+LEAST_HANG_S = 0.2
+
+
+class Forwarding:
+    """One request on its way.
+
+    Attributes:
+      sender: Chooses engines and counts attempts.
+    """
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        conns: pool.Pool,
+        req: routing.Request,
+        out: answering.Responder,
+    ) -> None:
+        self.sender = attempt.Sender(ctx, conns, req)
+        self.ctx = ctx
+        self.req = req
+        self.out = out
+
+    @property
+    def now(self) -> float:
+        """The loop's clock."""
+        return asyncio.get_running_loop().time()
+
+    async def find_engine(self, model: str) -> engineset.EngineState | None:
+        """Choose an engine, waiting a little for one that can take the request."""
+        until = self.now + WAIT_SHARE * self.req.route.objective_s
+        while True:
+            state = self.sender.choose(model)
+            if state is not None or self.now >= min(until, self.req.expires_at):
+                return state
+            await asyncio.sleep(WAIT_STEP_S)
+
+    def hang_limit_s(self) -> float | None:
+        """Time after which a silent engine is given up for another; None to stay with it."""
+        if not routing.is_repeatable(self.req.route) or self.sender.runs_left < 2:
+            return None
+        return max(LEAST_HANG_S, HANG_SHARE * self.req.route.objective_s)
+
+    async def give_up(self) -> None:
+        """Tell the caller that there is no answer; a 503 only if nothing can have run."""
+        if self.now >= self.req.expires_at and self.sender.runs:
+            await self.out.refuse(504, f"timeout after {self.sender.last_reason or 'wait'}")
+        elif self.sender.runs:
+            await self.out.refuse(502, f"failed: {self.sender.last_reason}")
+        else:
+            reason = self.sender.last_reason or "no engine can take it"
+            await self.out.refuse(503, reason, self._come_back_s())
+
+    def _come_back_s(self) -> float:
+        return COME_BACK_S * (0.5 + self.ctx.rng.random())
+
+    def note_result(self, opened: attempt.Opened, good: bool, started_s: float) -> None:
+        """Take how an answer ended as evidence about its engine and version."""
+        state = opened.attempt.state
+        if good:
+            state.health.note_answer(started_s)
+        else:
+            state.health.note_failure(self.now)
+        self.ctx.note_result(self.req.service, state.engine.version, good)
+
+    async def run(self) -> None:
+        """Forward a call that has one whole answer."""
+        while True:
+            if not self.sender.runs_left or not self.sender.may_repeat():
+                return await self.give_up()
+            state = await self.find_engine(self.req.head.model)
+            if state is None or self.now >= self.req.expires_at:
+                return await self.give_up()
+            result = await self.sender.send(
+                state, "", self.req.head.last_event, self.hang_limit_s()
+            )
+            if isinstance(result, attempt.Failure):
+                self._note_failure(state, result)
+                continue
+            body = await self._read_whole(result)
+            if body is None:
+                continue
+            if result.head.status >= SERVER_ERROR and self._worth_repeating():
+                continue
+            return await self.out.send_whole(result.head, body)
+
+    def _note_failure(self, state: engineset.EngineState, failure: attempt.Failure) -> None:
+        if failure.may_have_run:
+            self.ctx.note_result(self.req.service, state.engine.version, False)
+        self.ctx.log.write(
+            "attempt_failed",
+            request=self.req.head.id,
+            engine=state.engine.id,
+            reason=failure.reason,
+            may_have_run=failure.may_have_run,
+        )
+
+    def _worth_repeating(self) -> bool:
+        return routing.is_repeatable(self.req.route) and self.sender.runs_left > 0
+
+    async def _read_whole(self, opened: attempt.Opened) -> bytes | None:
+        """Read a whole body; None if it broke off."""
+        body = bytearray()
+        link = opened.attempt.link
+        assert link is not None
+        started_s = opened.at - opened.attempt.sent_at
+        try:
+            async with asyncio.timeout_at(self.req.expires_at):
+                while True:
+                    event = await link.next_event()
+                    if isinstance(event, h11.EndOfMessage):
+                        break
+                    if isinstance(event, h11.Data):
+                        body += event.data
+                    if len(body) > MAX_ANSWER_BYTES:
+                        raise http1.AnswerBroken("too large")
+        except (TimeoutError, http1.AnswerBroken) as exc:
+            self.sender.last_reason = f"broke off: {exc}"
+            self.note_result(opened, False, started_s)
+            opened.attempt.end()
+            return None
+        except BaseException:
+            opened.attempt.end()
+            raise
+        self.note_result(opened, opened.head.status < SERVER_ERROR, started_s)
+        opened.attempt.end_whole(opened.head)
+        return bytes(body)
--- /dev/null
+++ b/berylrock/daemons/gateway/picture.py
@@ -0,0 +1,148 @@
+"""Takes what the store says into the gateway's state: configuration, engines, orders, peers."""
+
+import asyncio
+
+from berylrock.core import message, routing
+from berylrock.daemons.gateway import context, watching
+from berylrock.ops import engineset, freshness, routetable
+from berylrock.platform import decoding, names
+
+__all__ = ["Picture"]
+
+CONFIG_WAIT_S = 1.2
+ENGINES_WAIT_S = 1.2
+ORDERS_WAIT_S = 2.0
+PEERS_WAIT_S = 4.0
+PEER_LIFE_S = 10.0
+
+
+class Picture:
+    """The parts of the state that come from the store."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+
+    def watches(self) -> tuple[watching.KindWatch, ...]:
+        """What to watch."""
+        return (
+            watching.KindWatch(
+                names.CONFIG_KIND, CONFIG_WAIT_S, self._take_config, self._ctx.fresh.note
+            ),
+            watching.KindWatch(names.ENGINES_KIND, ENGINES_WAIT_S, self._take_engines),
+            watching.KindWatch(names.ROLLOUTS_KIND, ORDERS_WAIT_S, self._take_rollouts),
+            watching.KindWatch(names.EVACUATIONS_KIND, ORDERS_WAIT_S, self._take_evacuations),
+            watching.KindWatch(names.PEERS_KIND, PEERS_WAIT_S, self._take_peers),
+        )
+
+    def _take_config(self, listing: decoding.Listing, whole: bool) -> None:
+        objects = listing.objects if whole else tuple(item.stored for item in listing.events)
+        for stored in objects:
+            if stored.name != names.CONFIG_NAME:
+                continue
+            config = decoding.read_config(stored.spec)
+            if config is None:
+                self._ctx.log.write("config_unreadable", revision=stored.revision)
+                continue
+            self.offer_config(config)
+
+    def offer_config(self, config: routing.Config) -> None:
+        """Put a configuration in force, unless a newer one is."""
+        ctx = self._ctx
+        if ctx.table is not None and config.version <= ctx.table.config.version:
+            return
+        ctx.table = routetable.RouteTable(config)
+        ctx.idle_limit_s = max(ctx.idle_limit_s, config.limits.idle_s)
+        ctx.log.write("config_in_force", version=config.version, routes=len(config.routes))
+
+    def _take_engines(self, listing: decoding.Listing, whole: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        ctx = self._ctx
+        changes: list[engineset.Change | None] = []
+        if whole:
+            readable = [decoding.read_engine(item) for item in listing.objects]
+            changes += ctx.engines.replace(tuple(item for item in readable if item), now)
+            ctx.engines_known = True
+        for event in listing.events:
+            engine = None if event.deleted else decoding.read_engine(event.stored)
+            if engine is not None:
+                changes.append(ctx.engines.put(engine))
+            else:
+                changes.append(ctx.engines.remove(event.stored.name, now))
+        for change in changes:
+            if change is not None:
+                ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
+
+    def _take_rollouts(self, listing: decoding.Listing, whole: bool) -> None:
+        if whole:
+            found = [decoding.read_rollout(item) for item in listing.objects]
+            self._ctx.rollouts = {item.service: item for item in found if item is not None}
+            for item in self._ctx.rollouts.values():
+                self._log_rollout(item)
+        for event in listing.events:
+            rollout = decoding.read_rollout(event.stored)
+            if event.deleted:
+                self._ctx.rollouts.pop(event.stored.name, None)
+            elif rollout is not None:
+                self._ctx.rollouts[rollout.service] = rollout
+                self._log_rollout(rollout)
+
+    def _log_rollout(self, item: routing.Rollout) -> None:
+        self._ctx.log.write(
+            "rollout_seen",
+            service=item.service,
+            target=item.target,
+            state=item.state,
+            stage=item.stage,
+            revision=item.revision,
+        )
+
+    def _take_evacuations(self, listing: decoding.Listing, whole: bool) -> None:
+        zones = set() if whole else set(self._ctx.engines.evacuated)
+        zones |= {item.name for item in listing.objects}
+        for event in listing.events:
+            if event.deleted:
+                zones.discard(event.stored.name)
+            else:
+                zones.add(event.stored.name)
+        if zones != self._ctx.engines.evacuated:
+            self._ctx.engines.evacuated = frozenset(zones)
+            self._ctx.log.write("zones_out_of_use", zones=",".join(sorted(zones)))
+
+    def _take_peers(self, listing: decoding.Listing, whole: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        peers = self._ctx.peers
+        if whole:
+            listed = {item.name for item in listing.objects}
+            for name in [name for name in peers if name not in listed]:
+                del peers[name]
+        for stored in listing.objects:
+            self._put_peer(stored, now)
+        for event in listing.events:
+            if event.deleted:
+                peers.pop(event.stored.name, None)
+            else:
+                self._put_peer(event.stored, now)
+        self.expire_peers(now)
+
+    def _put_peer(self, stored: decoding.Stored, now: float) -> None:
+        peer = decoding.read_peer(stored)
+        if peer is None:
+            return
+        known = self._ctx.peers.get(peer.name)
+        if known is not None and known[0].revision == peer.revision:
+            return
+        self._ctx.peers[peer.name] = (peer, now)
+        strikes = [
+            message.Strike(fingerprint, engine)
+            for fingerprint, engines in peer.suspects.items()
+            for engine in engines
+        ]
+        self._ctx.strikes.add(strikes, freshness.suspended_clock())
+
+    def expire_peers(self, now: float) -> None:
+        """Drop gateways that have not given a heartbeat for long."""
+        peers = self._ctx.peers
+        for name, (_, seen_at) in list(peers.items()):
+            if now - seen_at > PEER_LIFE_S and name != self._ctx.cfg.name:
+                del peers[name]
+                self._ctx.log.write("peer_lost", peer=name)
--- /dev/null
+++ b/berylrock/daemons/gateway/pool.py
@@ -0,0 +1,75 @@
+"""Connections to engines: kept while the engine keeps them, bounded, and never used if in doubt."""
+
+import asyncio
+
+from berylrock.adapters import http1
+from berylrock.core import routing
+
+__all__ = ["Pool"]
+
+CONNECT_TIMEOUT_S = 0.6
+DEFAULT_KEEP_S = 2.0
+KEEP_SHARE = 0.7
+# A kept connection may be closed by the engine while a request is on its way. A request that must
+# not run twice could then not be sent again, so it goes only on one that was just in use.
+SURE_IDLE_S = 0.3
+MAX_IDLE_S = 8.0
+
+
+class Pool:
+    """Idle connections by the engine's address."""
+
+    def __init__(self) -> None:
+        self._idle: dict[tuple[str, int], list[http1.EngineLink]] = {}
+        self.opened = 0
+
+    async def take(
+        self, engine: routing.Engine, sure: bool, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> http1.EngineLink:
+        """Take an idle connection, or open one.
+
+        Args:
+          engine: The engine.
+          sure: The request must not be sent twice.
+          timeout_s: Longest wait for a new connection.
+
+        Returns:
+          A connection on which nothing is under way.
+
+        Raises:
+          ConnectFailed: There is none; nothing was sent.
+        """
+        now = asyncio.get_running_loop().time()
+        links = self._idle.get(engine.address, [])
+        while links:
+            link = links.pop()
+            limit_s = KEEP_SHARE * (link.keep_s or DEFAULT_KEEP_S)
+            if sure:
+                limit_s = min(limit_s, SURE_IDLE_S)
+            if link.usable and now - link.idle_since < limit_s:
+                return link
+            link.close()
+        self.opened += 1
+        return await http1.EngineLink.open(engine.address, timeout_s)
+
+    def put_back(self, engine: routing.Engine, link: http1.EngineLink, closes: bool) -> None:
+        """Keep a connection whose answer was read whole, or close it."""
+        if closes or not link.finish():
+            link.close()
+            return
+        self._idle.setdefault(engine.address, []).append(link)
+
+    def sweep(self) -> None:
+        """Close connections that the engine has closed, or soon will."""
+        now = asyncio.get_running_loop().time()
+        for address, links in list(self._idle.items()):
+            kept = []
+            for link in links:
+                limit_s = KEEP_SHARE * (link.keep_s or MAX_IDLE_S)
+                if link.usable and now - link.idle_since < min(limit_s, MAX_IDLE_S):
+                    kept.append(link)
+                else:
+                    link.close()
+            self._idle[address] = kept
+            if not kept:
+                del self._idle[address]
--- /dev/null
+++ b/berylrock/daemons/gateway/process.py
@@ -0,0 +1,122 @@
+"""Assembles a gateway and runs it until it is told to stop."""
+
+import asyncio
+import pathlib
+import signal
+
+from berylrock.core import boundedlog, errors, eventlog, metrics, timer
+from berylrock.daemons import stopping
+from berylrock.daemons.gateway import callers, context, control, pages, picture, pool, watching
+from berylrock.ops import freshness
+from berylrock.platform import settings
+
+__all__ = ["METRICS_PORT", "run"]
+
+METRICS_PORT = 9464
+KEPT_EVENTS = 200
+SWEEP_S = 0.5
+RECORD_S = 0.3
+CONTROL_S = 0.25
+SETTINGS_S = 1.0
+
+
+class Gateway:
+    """All parts of a gateway."""
+
+    def __init__(self, path: str) -> None:
+        self._path = pathlib.Path(path)
+        cfg = settings.load(path)
+        log = eventlog.EventLog(cfg.name, boundedlog.BoundedHandler(), KEPT_EVENTS)
+        self._ctx = context.Context(cfg, log, metrics.Metrics("", cfg.name), timer.Timer(log.write))
+        self._conns = pool.Pool()
+        self._callers = callers.Callers(self._ctx, self._conns)
+        self._picture = picture.Picture(self._ctx)
+        self._record = control.SelfRecord(self._ctx)
+        self._control = control.RolloutControl(self._ctx)
+        self._settings_at = self._stamp()
+
+    def _stamp(self) -> tuple[float, int]:
+        """Time and size of the settings file; it may change without a signal."""
+        try:
+            found = self._path.stat()
+            return found.st_mtime, found.st_size
+        except OSError:
+            return 0.0, 0
+
+    def _reload(self) -> None:
+        """Read the settings again; a faulty file leaves those in force."""
+        self._settings_at = self._stamp()
+        try:
+            cfg = settings.load(str(self._path))
+        except errors.SettingsError as exc:
+            self._ctx.log.write("reload_failed", error=str(exc))
+            return
+        changed = cfg != self._ctx.cfg
+        self._ctx.cfg = cfg
+        self._ctx.store.address = cfg.store
+        self._ctx.log.write("reloaded", changed=changed)
+
+    def _look_at_settings(self) -> None:
+        if self._stamp() != self._settings_at:
+            self._reload()
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._conns.sweep()
+        ttl_s = self._ctx.cfg.bounds.session_ttl_s + 1.0
+        self._ctx.sessions.expire(loop.time(), ttl_s)
+        for change in self._ctx.engines.expire(loop.time()):
+            self._ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
+        self._picture.expire_peers(loop.time())
+
+    def _render_ready(self, _: str) -> pages.Page:
+        ready = self._ctx.ready
+        return pages.Page(200 if ready else 503, "ready\n" if ready else "not ready\n")
+
+    def _render_metrics(self, _: str) -> pages.Page:
+        counts = [f"{name} {value}" for name, value in sorted(self._ctx.meter.counts.items())]
+        age = self._ctx.fresh.age(freshness.suspended_clock())
+        counts.append(f"config_age_s {age:.3f}")
+        counts.append(f"store_calls {self._ctx.store.calls}")
+        counts.append(f"engine_connections_opened {self._conns.opened}")
+        return pages.Page(200, "\n".join(counts + self._ctx.times.render()) + "\n")
+
+    def _subscribe(self) -> None:
+        clock = self._ctx.timer
+        for what in self._picture.watches():
+            clock.spawn(watching.Watcher(self._ctx, what).run())
+        clock.every(SWEEP_S, self._sweep)
+        clock.every(RECORD_S, self._record.tend)
+        clock.every(CONTROL_S, self._control.tend)
+        clock.every(SETTINGS_S, self._look_at_settings)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what runs within the grace time."""
+        ctx = self._ctx
+        loop = asyncio.get_running_loop()
+        stop = stopping.Stop(ctx.log)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await pages.serve(ctx.cfg.readiness, self._render_ready)
+        await pages.serve((ctx.cfg.address, METRICS_PORT), self._render_metrics)
+        await self._callers.start()
+        self._subscribe()
+        ctx.log.write("started", zone=ctx.cfg.zone)
+        await stop.wait()
+        ctx.stopping = True
+        await self._callers.drain(loop.time())
+        await self._record.withdraw()
+        ctx.log.write("stopped")
+        await ctx.timer.close()
+
+
+def run(path: str) -> None:
+    """Run a gateway until it is told to stop.
+
+    Args:
+      path: The settings file.
+    """
+
+    async def main() -> None:
+        await Gateway(path).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/berylrock/daemons/gateway/streaming.py
@@ -0,0 +1,177 @@
+"""Relays a stream of events: cascade before the first event, resumption after a break."""
+
+import asyncio
+
+import h11
+
+from berylrock.adapters import http1
+from berylrock.daemons.gateway import attempt, forwarding
+from berylrock.ops import events, norms, steps
+
+__all__ = ["StreamForwarding"]
+
+SERVER_ERROR = 500
+# A pause that reaches this share of the longest one that is on time is held to be a stall.
+STALL_SHARE = 0.6
+DEFAULT_PAUSE_S = 2.0
+LEAST_EVENTS_TO_TIME = 4
+
+
+class StreamForwarding(forwarding.Forwarding):
+    """A request whose answer is a stream of events."""
+
+    def _prepare(self) -> None:
+        self._sequence = events.Sequence(self.req.head.last_event)
+        self._step = steps.first_step(self.req.route, self.sender.runs_left)
+        self._first_event_at = 0.0
+        self._last_event_at = 0.0
+        self._count = 0
+
+    async def run(self) -> None:
+        """Forward a stream; a break is mended at another engine while that is allowed."""
+        self._prepare()
+        while True:
+            opened = await self._open()
+            if opened is None:
+                return await self._end_without_answer()
+            if not self._is_stream(opened):
+                body = await self._read_whole(opened)
+                if body is None or (opened.head.status >= SERVER_ERROR and self._worth_repeating()):
+                    continue
+                if self.out.begun:
+                    return await self._end_without_answer()
+                return await self.out.send_whole(opened.head, body)
+            if not self.out.begun and not self._trusted(opened):
+                self._step_up(opened)
+                continue
+            if await self._relay(opened):
+                return await self.out.end_stream()
+
+    async def _end_without_answer(self) -> None:
+        if self.out.begun:
+            self.out.break_off(self.sender.last_reason or "no engine left")
+        else:
+            await self.give_up()
+
+    async def _open(self) -> attempt.Opened | None:
+        """Open a run at an engine; None if there is no way left."""
+        while self.sender.runs_left and self.now < self.req.expires_at:
+            if not self.sender.may_repeat():
+                self.sender.last_reason = "retry budget spent"
+                return None
+            state = await self.find_engine(self._step.model)
+            if state is None:
+                return None
+            result = await self.sender.send(
+                state, self._step.model, self._sequence.last, self.hang_limit_s()
+            )
+            if isinstance(result, attempt.Opened):
+                return result
+            self._note_failure(state, result)
+        return None
+
+    @staticmethod
+    def _is_stream(opened: attempt.Opened) -> bool:
+        kinds = [value for name, value in opened.head.headers if name.lower() == b"content-type"]
+        return opened.head.status < 300 and any(b"event-stream" in kind for kind in kinds)
+
+    def _trusted(self, opened: attempt.Opened) -> bool:
+        return steps.accepts(
+            self._step,
+            opened.head.confidence,
+            self.now - self.req.received_at,
+            self.req.route.objective_s,
+            self.sender.runs_left,
+        )
+
+    def _step_up(self, opened: attempt.Opened) -> None:
+        """Drop an answer that its model is unsure of, and ask the largest model."""
+        opened.attempt.end()
+        self.ctx.log.write(
+            "step_up",
+            request=self.req.head.id,
+            model=self._step.model,
+            confidence=opened.head.confidence,
+        )
+        self._step = steps.next_step(self.req.route)
+
+    async def _relay(self, opened: attempt.Opened) -> bool:
+        """Pass a run's events on; returns whether the stream came to its end."""
+        self._first_event_at = self._last_event_at = 0.0
+        self._count = 0
+        splitter = events.EventSplitter()
+        try:
+            whole = await self._pass_events(opened, splitter)
+        except (TimeoutError, http1.AnswerBroken) as exc:
+            self.sender.last_reason = f"stream broke: {type(exc).__name__} {exc}"
+            whole = False
+        except BaseException:
+            opened.attempt.end()
+            raise
+        self._conclude(opened, whole)
+        return whole
+
+    async def _pass_events(self, opened: attempt.Opened, splitter: events.EventSplitter) -> bool:
+        link = opened.attempt.link
+        assert link is not None
+        while True:
+            async with asyncio.timeout_at(self._next_limit()):
+                event = await link.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                if splitter.rest:
+                    self.sender.last_reason = "stream ended within an event"
+                return not splitter.rest and (self.out.begun or await self._begin(opened))
+            if isinstance(event, h11.Data):
+                for piece in splitter.feed(bytes(event.data)):
+                    await self._pass_event(opened, piece)
+
+    def _next_limit(self) -> float:
+        pause_s = self.req.route.pause_s or DEFAULT_PAUSE_S
+        if self.sender.runs_left < 1:
+            return self.req.expires_at
+        return min(self.req.expires_at, self.now + STALL_SHARE * pause_s)
+
+    async def _begin(self, opened: attempt.Opened) -> bool:
+        await self.out.begin_stream(opened.head)
+        return True
+
+    async def _pass_event(self, opened: attempt.Opened, piece: events.Event) -> None:
+        if self._sequence.has_gap(piece):
+            raise http1.AnswerBroken(f"events missing before {piece.id}")
+        now = self.now
+        self._first_event_at = self._first_event_at or now
+        self._last_event_at = now
+        self._count += 1
+        if not self._sequence.accepts(piece):
+            return
+        if not self.out.begun:
+            await self._begin(opened)
+            self.ctx.times.note("first_event", now - self.req.received_at)
+        await self.out.send_piece(piece.data)
+
+    def _timing(self, opened: attempt.Opened) -> norms.Timing:
+        first_s = (self._first_event_at or self.now) - opened.attempt.sent_at
+        per_event_s = 0.0
+        if self._count >= LEAST_EVENTS_TO_TIME:
+            per_event_s = (self._last_event_at - self._first_event_at) / (self._count - 1)
+        return norms.Timing(first_s, per_event_s)
+
+    def _conclude(self, opened: attempt.Opened, whole: bool) -> None:
+        """Judge the run, and give its connection back or close it."""
+        timing = self._timing(opened)
+        state, model = opened.attempt.state, opened.attempt.model
+        plan = self.ctx.plan_for(self.req.service)
+        on_trial = plan.trial is not None and state.engine.version == plan.trial
+        good = whole
+        if on_trial and self.ctx.norms.is_slow(self.req.service, model, timing):
+            good = False
+        if whole and not on_trial:
+            self.ctx.norms.note(self.req.service, model, timing)
+        if whole:
+            state.health.note_answer(timing.first_s)
+            self.ctx.note_result(self.req.service, state.engine.version, good)
+            opened.attempt.end_whole(opened.head)
+        else:
+            self.note_result(opened, False, timing.first_s)
+            opened.attempt.end()
+        self.sender.note_session()
--- a/berylrock/ops/budget.py
+++ b/berylrock/ops/budget.py
@@ -1,6 +1,8 @@
-"""Limits on rates: the retry budget and the quotas of organisations."""
+"""Limits on rates: the retry budgets and the quotas of organisations."""
 
-__all__ = ["RetryBudget", "TokenBucket"]
+import collections
+
+__all__ = ["RetryBudget", "TokenBucket", "WindowBudget"]
 
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 20.0
@@ -24,6 +26,45 @@
         return True
 
 
+class WindowBudget:
+    """Bounds the repeats at a service in any window, as a share of its requests.
+
+    The bound is a sum over all gateways; each keeps its own repeats below its own requests, and
+    takes its part of what is allowed on top, so that nobody need be asked.
+    """
+
+    SAFETY = 0.8
+
+    def __init__(self) -> None:
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def note_request(self, now: float) -> None:
+        """A request for the service came in."""
+        self._requests.append(now)
+
+    def take(self, now: float, ratio: float, window_s: float, extra: float) -> bool:
+        """Spend one repeat.
+
+        Args:
+          now: Time in seconds.
+          ratio: Repeats allowed for each request.
+          window_s: The window.
+          extra: Repeats that this gateway may make on top.
+
+        Returns:
+          Whether there was one.
+        """
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= now - window_s:
+                times.popleft()
+        allowed = self.SAFETY * (ratio * len(self._requests) + extra)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+
 class TokenBucket:
     """Lets through a rate with bursts of up to one second's worth."""
 
--- /dev/null
+++ b/berylrock/ops/freshness.py
@@ -0,0 +1,32 @@
+"""Tells how old a process's knowledge of the store is, also after the VM was suspended."""
+
+import time
+
+__all__ = ["Freshness", "suspended_clock"]
+
+
+def suspended_clock() -> float:
+    """Seconds on a clock that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Freshness:
+    """When the store last confirmed what this process knows of one kind of object.
+
+    A call confirms the state as of the moment at which it was sent: the answer may have been under
+    way for any part of the time until it came.
+    """
+
+    def __init__(self) -> None:
+        self._confirmed_at: float | None = None
+
+    def note(self, sent_at: float) -> None:
+        """Take that a call sent at this time, by ``suspended_clock``, was answered."""
+        if self._confirmed_at is None or sent_at > self._confirmed_at:
+            self._confirmed_at = sent_at
+
+    def age(self, now: float) -> float:
+        """Seconds since the confirmed state; infinite before the first."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return now - self._confirmed_at
--- /dev/null
+++ b/berylrock/ops/staging.py
@@ -0,0 +1,193 @@
+"""Moves a service to another version: who gets it, when the share grows, when it is taken back.
+
+No gateway leads. The stage of a roll-out is in the store; any gateway may move it on, on condition
+that nobody else did. Within a stage the version of a session is a function of the session alone,
+so every gateway finds the same one; shares only grow, and a session that is under way keeps its
+version through the first half.
+
+Load pattern: a version that fails at once, slowly, only under load, only on one route or only
+after a while must be found while few requests have met it.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+from berylrock.core import routing
+
+__all__ = [
+    "Evidence",
+    "Plan",
+    "SessionVersions",
+    "Verdict",
+    "baseline_version",
+    "decide",
+    "looks_bad",
+    "make_plan",
+    "plan_version",
+]
+
+STAGE_SHARES = (0.08, 0.5, 1.0)
+LAST_STAGE = len(STAGE_SHARES) - 1
+# Sessions may move once half of the time is over; a little later, so that clocks may differ.
+FIRST_STAGE_SHARE_OF_TIME = 0.53
+STAGE_S = 3.0
+LAST_STAGE_S = 5.0
+HASH_RANGE = 2.0**64
+
+LEAST_BAD = 4
+BAD_SHARE = 0.12
+BAD_RATIO = 2.5
+
+
+class Evidence(NamedTuple):
+    """Results of one version of a service: answers in all, and bad ones."""
+
+    answers: int = 0
+    bad: int = 0
+
+
+class Plan(NamedTuple):
+    """Versions of a service by how much a new session may go to them.
+
+    Attributes:
+      stable: The version that serves; None if it is not known.
+      trial: The version on trial or taken over to; None without one.
+      share: Share of the sessions that goes to ``trial``.
+      forbidden: Versions that get nothing.
+    """
+
+    stable: str | None
+    trial: str | None
+    share: float
+    forbidden: frozenset[str]
+
+
+class Verdict(NamedTuple):
+    """What to write into a roll-out's status."""
+
+    state: routing.RolloutState
+    stage: int
+    reason: str
+
+
+def baseline_version(engines: list[routing.Engine]) -> str | None:
+    """The version that most engines of a service have; the one that came first if two tie."""
+    counts: dict[str, int] = {}
+    first: dict[str, int] = {}
+    for item in engines:
+        counts[item.version] = counts.get(item.version, 0) + 1
+        first[item.version] = min(first.get(item.version, item.revision), item.revision)
+    if not counts:
+        return None
+    return max(counts, key=lambda name: (counts[name], -first[name]))
+
+
+def make_plan(rollout: routing.Rollout | None, engines: list[routing.Engine], vetoed: bool) -> Plan:
+    """Say which versions of a service may get requests.
+
+    Args:
+      rollout: The service's roll-out, if there is one.
+      engines: The service's engines.
+      vetoed: This gateway has found the target bad.
+
+    Returns:
+      The plan.
+    """
+    if rollout is None:
+        return Plan(baseline_version(engines), None, 0.0, frozenset())
+    others = [item for item in engines if item.version != rollout.target]
+    stable = baseline_version(others)
+    if rollout.state == "completed":
+        return Plan(rollout.target, None, 0.0, frozenset())
+    if rollout.state == "reverted" or vetoed:
+        return Plan(stable, None, 0.0, frozenset((rollout.target,)))
+    share = STAGE_SHARES[min(rollout.stage, LAST_STAGE)]
+    return Plan(stable, rollout.target, share, frozenset())
+
+
+def _point(service: str, target: str, session: str) -> float:
+    digest = hashlib.blake2b(f"{service}\0{target}\0{session}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") / HASH_RANGE
+
+
+def plan_version(plan: Plan, service: str, session: str, kept: str | None) -> str | None:
+    """The version for a session's next request.
+
+    Args:
+      plan: The service's plan.
+      service: The service.
+      session: The session, or the request's id if it has none.
+      kept: The version of the session's last request, if it is still under way.
+
+    Returns:
+      The version; None if none is known.
+    """
+    if plan.trial is None:
+        return plan.stable
+    # Until the last stage a session that is under way stays where it is.
+    if kept is not None and plan.share < 1.0 and kept in (plan.stable, plan.trial):
+        return kept
+    if _point(service, plan.trial, session) < plan.share:
+        return plan.trial
+    return plan.stable or plan.trial
+
+
+class SessionVersions:
+    """The version of each session that is under way, by service."""
+
+    def __init__(self) -> None:
+        self._last: dict[tuple[str, str], tuple[str, float]] = {}
+
+    def find(self, service: str, session: str, now: float, ttl_s: float) -> str | None:
+        """The version of a session's last request; None if it is too long ago."""
+        version, at = self._last.get((service, session), ("", 0.0))
+        return version if version and now - at < ttl_s else None
+
+    def note(self, service: str, session: str, version: str, now: float) -> None:
+        """A session's request runs, or has just ended, on a version."""
+        self._last[(service, session)] = (version, now)
+
+    def expire(self, now: float, ttl_s: float) -> None:
+        """Forget sessions that are over."""
+        self._last = {key: item for key, item in self._last.items() if now - item[1] < ttl_s}
+
+
+def looks_bad(trial: Evidence, stable: Evidence) -> bool:
+    """Tell whether a version on trial fails so much more than the stable one that it goes back."""
+    if trial.bad < LEAST_BAD:
+        return False
+    share = trial.bad / max(1, trial.answers)
+    usual = stable.bad / stable.answers if stable.answers else 0.0
+    return share >= BAD_SHARE and share >= BAD_RATIO * usual
+
+
+def decide(
+    rollout: routing.Rollout, trial: Evidence, stable: Evidence, age_s: float, stage_s: float
+) -> Verdict | None:
+    """Decide what a roll-out's status is to say next.
+
+    Args:
+      rollout: The order and its status.
+      trial: Results of the target, of all gateways.
+      stable: Results of the version that serves.
+      age_s: Time since the order.
+      stage_s: Time since the stage began.
+
+    Returns:
+      What to write; None to leave it.
+    """
+    if rollout.state in ("completed", "reverted"):
+        return None
+    if looks_bad(trial, stable):
+        return Verdict("reverted", rollout.stage, f"bad={trial.bad}/{trial.answers}")
+    if rollout.state == "new":
+        return Verdict("running", 0, "taken up")
+    if rollout.stage == 0:
+        ready = age_s >= rollout.duration_s * FIRST_STAGE_SHARE_OF_TIME
+        return Verdict("running", 1, "half of the time is over") if ready else None
+    if rollout.stage < LAST_STAGE:
+        due = stage_s >= STAGE_S
+        return Verdict("running", rollout.stage + 1, "no fault found") if due else None
+    if stage_s >= LAST_STAGE_S:
+        return Verdict("completed", LAST_STAGE, "all sessions moved")
+    return None
--- /dev/null
+++ b/berylrock/platform/names.py
@@ -0,0 +1,77 @@
+"""Names of the platform's headers and words, with a comment where a name misleads."""
+
+__all__ = ["SYSTEM_HEADERS"]
+
+REQUEST_ID = b"x-berylrock-attempt-id"
+# Milliseconds that are left, not a point in time.
+DEADLINE_MS = b"x-berylrock-deadline-ms"
+MODEL = b"x-berylrock-model"
+# "prompt tokens,most output tokens": a forecast, not usage.
+TOKENS = b"x-berylrock-token-usage"
+# "id:tokens,...": the parts of the prompt, not one hash.
+PROMPT_PARTS = b"x-berylrock-prefix-hash"
+KEY = b"x-api-key"
+SESSION = b"session"
+LAST_EVENT = b"last-event-id"
+ORGANISATION = b"x-berylrock-tenant"
+TARGET_ENGINE = b"x-berylrock-target-instance"
+SIGNATURE = b"x-berylrock-response-signature"
+NOT_RUN = b"x-berylrock-not-executed"
+RETRY_AFTER = b"retry-after"
+CONFIDENCE = b"x-berylrock-hint-confidence"
+WARMUP_MS = b"x-berylrock-warmup-ms"
+ENGINE_PRIORITY = b"x-berylrock-request-priority"
+
+ANY_MODEL = "*"
+
+# Headers that only the system may set; a caller's are dropped.
+SYSTEM_HEADERS = frozenset(
+    (
+        KEY,
+        ORGANISATION,
+        TARGET_ENGINE,
+        DEADLINE_MS,
+        ENGINE_PRIORITY,
+        LAST_EVENT,
+        b"x-berylrock-expected-version",
+        b"x-berylrock-pin-ms",
+        b"x-berylrock-cache-retain",
+        b"x-berylrock-kv-replica",
+        b"kv-from",
+        b"kv-fetch",
+        SIGNATURE,
+        NOT_RUN,
+    )
+)
+
+# Headers that concern one connection only.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"accept-encoding",
+    )
+)
+
+CONFIG_KIND, CONFIG_NAME = "config", "main"
+ENGINES_KIND = "servers"
+ROLLOUTS_KIND = "rollouts"
+EVACUATIONS_KIND = "evacuations"
+# A kind of the system's own: one object a gateway.
+PEERS_KIND = "gateways"
+
+KINDS = {
+    "idempotent": "idempotent",
+    "non_idempotent": "non_idempotent",
+    "streaming": "stream",
+}
+ROLLOUT_STATES = {"in_progress": "running", "completed": "completed", "reverted": "reverted"}
+ROLLOUT_WORDS = {word: name for name, word in ROLLOUT_STATES.items()}
+READY_WORD, DRAINING_WORD = "ready", "draining"
--- /dev/null
+++ b/berylrock/platform/settings.py
@@ -0,0 +1,112 @@
+"""Reads the settings file that the platform lays out, in its own format."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+from berylrock.core import errors, routing
+
+__all__ = ["PATH_VARIABLE", "default_path", "load"]
+
+PATH_VARIABLE = "BERYLROCK_BOOT"
+DEFAULT_PATH = "/etc/berylrock/boot.toml"
+MS_PER_S = 1000.0
+
+
+def default_path() -> str:
+    """Where the settings file is, by the environment."""
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def _split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def _read_bounds(table: dict[str, Any]) -> routing.Bounds:
+    base = routing.Bounds()
+
+    def seconds(name: str, default: float) -> float:
+        return float(table[name]) / MS_PER_S if name in table else default
+
+    def plain(name: str, default: float) -> float:
+        return float(table.get(name, default))
+
+    return routing.Bounds(
+        contact_s=seconds("contact-ms", base.contact_s),
+        drain_s=seconds("drain-timeout-ms", base.drain_s),
+        grace_s=plain("grace-s", base.grace_s),
+        config_apply_s=seconds("config-apply-ms", base.config_apply_s),
+        revoke_s=seconds("revoke-timeout-ms", base.revoke_s),
+        retry_ratio=plain("retry-ratio", base.retry_ratio),
+        retry_window_s=plain("retry-window-s", base.retry_window_s),
+        retry_extra=plain("retry-extra", base.retry_extra),
+        canary_share=plain("canary-share", base.canary_share),
+        warmup_overrun=plain("warmup-overrun", base.warmup_overrun),
+        warmup_margin=plain("warmup-margin", base.warmup_margin),
+        evacuate_s=seconds("evacuate-ms", base.evacuate_s),
+        session_ttl_s=plain("session-ttl-s", base.session_ttl_s),
+        # The platform names this bound after the wait that it was first used for.
+        retry_after_s=plain("retry-after-s", base.retry_after_s),
+    )
+
+
+def load(path: str) -> routing.GatewaySettings:
+    """Read the settings of a gateway.
+
+    Args:
+      path: The settings file, TOML.
+
+    Returns:
+      The settings.
+
+    Raises:
+      SettingsError: The file cannot be read or lacks something; the message lists every fault.
+    """
+    try:
+        table = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as exc:
+        remedy = f"name a readable TOML file in {PATH_VARIABLE}"
+        raise errors.SettingsError(f"cannot read settings {path}: {exc}; {remedy}") from exc
+    return _convert(path, table)
+
+
+def _convert(path: str, table: dict[str, Any]) -> routing.GatewaySettings:
+    faults: list[str] = []
+
+    def find(*names: str) -> Any:
+        value: Any = table
+        for name in names:
+            value = value.get(name) if isinstance(value, dict) else None
+        if value is None:
+            faults.append(f"{path}: {'.'.join(names)}: missing; set it")
+        return value
+
+    def address(*names: str) -> tuple[str, int]:
+        text = find(*names)
+        try:
+            return _split_address(text) if text is not None else ("", 0)
+        except (ValueError, AttributeError):
+            faults.append(f"{path}: {'.'.join(names)}: write it as IP:PORT, not {text!r}")
+            return ("", 0)
+
+    try:
+        bounds = _read_bounds(table.get("bounds", {}))
+    except (TypeError, ValueError) as exc:
+        faults.append(f"{path}: bounds: write each as a number: {exc}")
+        bounds = routing.Bounds()
+    cfg = routing.GatewaySettings(
+        name=str(find("node-name")),
+        zone=str(find("zone")),
+        region=str(table.get("region", "")),
+        address=str(find("ip")),
+        callers=address("listen", "frontend"),
+        readiness=address("listen", "readiness"),
+        store=address("platform", "address"),
+        max_fds=int(table.get("limits", {}).get("max-fds", 1024)),
+        bounds=bounds,
+    )
+    if faults:
+        raise errors.SettingsError("\n".join(faults))
+    return cfg
--- /dev/null
+++ b/berylrock/platform/store.py
@@ -0,0 +1,172 @@
+"""The client of the platform's store: lists, watches and conditional writes over HTTP/1.1."""
+
+import asyncio
+from typing import Any
+from urllib import parse
+
+import h11
+import msgspec
+
+from berylrock.adapters import http1
+from berylrock.core import errors
+from berylrock.platform import decoding
+
+__all__ = ["HistoryGone", "Store"]
+
+CONNECT_TIMEOUT_S = 0.7
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 0.8
+MS_PER_S = 1000.0
+KEPT_LINKS = 8
+IDLE_LIMIT_S = 5.0
+OK, CREATED, MISSING, CONFLICT, GONE = 200, 201, 404, 409, 410
+
+
+class HistoryGone(errors.BerylrockError):
+    """The store no longer has the changes since this revision: list again."""
+
+
+class Store:
+    """Calls the store; every method raises ``StoreUnavailable`` if no good answer came.
+
+    A write that got no answer may have been done, or may be done later if its condition holds.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.calls = 0
+        self._idle: list[http1.EngineLink] = []
+
+    async def list(self, kind: str) -> decoding.Listing:
+        """Read all objects of a kind, page by page."""
+        objects: list[decoding.Stored] = []
+        after, revision = "", 0
+        while True:
+            query = f"?after={parse.quote(after)}" if after else ""
+            page = decoding.read_listing(await self._get(f"/objects/{kind}{query}", 0.0))
+            if page is None:
+                raise errors.StoreUnavailable(f"unreadable list of {kind}; tried again by itself")
+            objects += page.objects
+            revision = revision or page.revision
+            if not page.has_more or not page.objects:
+                return decoding.Listing(tuple(objects), (), False, revision)
+            after = page.objects[-1].name
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> decoding.Listing:
+        """Wait for changes of a kind after a revision.
+
+        Raises:
+          HistoryGone: The store has forgotten them.
+        """
+        query = parse.urlencode({"watch": revision, "wait-ms": int(wait_s * MS_PER_S)})
+        found = decoding.read_listing(await self._get(f"/objects/{kind}?{query}", wait_s))
+        if found is None:
+            raise errors.StoreUnavailable(f"unreadable watch of {kind}; tried again by itself")
+        return found
+
+    async def get(self, kind: str, name: str) -> decoding.Stored | None:
+        """Read one object; None if there is none."""
+        try:
+            return decoding.read_stored(await self._get(self._path(kind, name), 0.0))
+        except errors.NotFound:
+            return None
+
+    async def create(self, kind: str, name: str, spec: Any) -> decoding.Stored | None:
+        """Create an object; raises ``Conflict`` if there is one."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        return decoding.read_stored(await self._call("POST", f"/objects/{kind}", body))
+
+    async def replace(
+        self, kind: str, name: str, spec: Any, revision: int
+    ) -> decoding.Stored | None:
+        """Replace an object's spec; raises ``Conflict`` if it has another revision."""
+        body = {"metadata": {"name": name, "revision": revision, "finalizers": []}, "spec": spec}
+        return decoding.read_stored(await self._call("PUT", self._path(kind, name), body))
+
+    async def set_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> decoding.Stored | None:
+        """Replace an object's status; raises ``Conflict`` if it has another revision."""
+        body = {"metadata": {"name": name, "revision": revision}, "status": status}
+        path = f"{self._path(kind, name)}/status"
+        return decoding.read_stored(await self._call("PUT", path, body))
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        """Delete an object; raises ``Conflict`` if it has another revision."""
+        await self._call("DELETE", f"{self._path(kind, name)}?revision={revision}", None)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for link in self._idle:
+            link.close()
+        self._idle.clear()
+
+    @staticmethod
+    def _path(kind: str, name: str) -> str:
+        return f"/objects/{kind}/{parse.quote(name, safe='')}"
+
+    async def _get(self, target: str, wait_s: float) -> bytes:
+        limit_s = wait_s + WATCH_MARGIN_S if wait_s else CALL_TIMEOUT_S
+        return await self._exchange("GET", target, b"", limit_s)
+
+    async def _call(self, method: str, target: str, body: Any) -> bytes:
+        data = msgspec.json.encode(body) if body is not None else b""
+        return await self._exchange(method, target, data, CALL_TIMEOUT_S)
+
+    async def _exchange(self, method: str, target: str, body: bytes, limit_s: float) -> bytes:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(limit_s):
+                status, answer = await self._attempt(method, target, body)
+        except (TimeoutError, http1.ConnectFailed, http1.AnswerBroken) as exc:
+            text = f"no answer to {method} {target}: {exc}; tried again by itself"
+            raise errors.StoreUnavailable(text) from exc
+        if status in (OK, CREATED):
+            return answer
+        if status == MISSING:
+            raise errors.NotFound(f"no object {target}; create it")
+        if status == CONFLICT:
+            raise errors.Conflict(f"{target} has another revision; read it again")
+        if status == GONE:
+            raise HistoryGone(f"history of {target} is gone; list again")
+        raise errors.StoreUnavailable(f"{status} to {method} {target}; tried again by itself")
+
+    async def _attempt(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+        link = await self._take_link()
+        kept = False
+        try:
+            headers = [(b"host", f"{self.address[0]}:{self.address[1]}".encode())]
+            if body:
+                headers.append((b"content-type", b"application/json"))
+            if method != "GET":
+                headers.append((b"content-length", str(len(body)).encode()))
+            await link.send(method, target, headers, body)
+            status, answer = await self._read(link)
+            kept = link.finish()
+            return status, answer
+        finally:
+            if kept and len(self._idle) < KEPT_LINKS:
+                self._idle.append(link)
+            else:
+                link.close()
+
+    async def _read(self, link: http1.EngineLink) -> tuple[int, bytes]:
+        head = await link.next_event()
+        if not isinstance(head, h11.Response):
+            raise http1.AnswerBroken("no head of an answer")
+        data = bytearray()
+        while True:
+            event = await link.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return head.status_code, bytes(data)
+            if isinstance(event, h11.Data):
+                data += event.data
+
+    async def _take_link(self) -> http1.EngineLink:
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            link = self._idle.pop()
+            if link.usable and now - link.idle_since < IDLE_LIMIT_S:
+                return link
+            link.close()
+        return await http1.EngineLink.open(self.address, CONNECT_TIMEOUT_S)
--- /dev/null
+++ b/berylrock/platform/translating.py
@@ -0,0 +1,174 @@
+"""Translates requests and answers between the platform's headers and the gateway's types."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from berylrock.core import routing
+from berylrock.platform import names
+
+__all__ = ["AnswerHead", "Headers", "read_answer", "read_request", "write_order", "write_refusal"]
+
+Headers = list[tuple[bytes, bytes]]
+
+MS_PER_S = 1000.0
+
+
+class AnswerHead(NamedTuple):
+    """What the gateway reads from an engine's answer.
+
+    Attributes:
+      status: HTTP status.
+      request_id: The request that it answers, as the engine echoes it; empty if it does not.
+      signed: Whether it bears the engine's signature.
+      not_run: The engine says that it did not run the request.
+      encoded: Whether its body is not the engine's own bytes.
+      confidence: The model's own estimate of its answer, 0 to 100; None if it gives none.
+      retry_after_s: When the engine may be asked again; None if it does not say.
+      cold_s: How much longer the engine is cold; None if it does not say.
+      closes: Whether the engine closes the connection after it.
+      keep_alive_s: How long the engine keeps the connection open; None if it does not say.
+      headers: Headers to pass on, as sent.
+    """
+
+    status: int
+    request_id: str
+    signed: bool
+    not_run: bool
+    encoded: bool
+    confidence: int | None
+    retry_after_s: float | None
+    cold_s: float | None
+    closes: bool
+    keep_alive_s: float | None
+    headers: tuple[tuple[bytes, bytes], ...]
+
+
+def _text(fields: dict[bytes, bytes], name: bytes) -> str:
+    return fields.get(name, b"").decode("latin-1").strip()
+
+
+def _number(fields: dict[bytes, bytes], name: bytes) -> float | None:
+    try:
+        return float(fields[name])
+    except (KeyError, ValueError):
+        return None
+
+
+def _tokens(text: str) -> tuple[int, int]:
+    prompt, _, output = text.partition(",")
+    try:
+        return int(prompt or 0), int(output or 0)
+    except ValueError:
+        return 0, 0
+
+
+def _parts(text: str) -> tuple[routing.PromptPart, ...]:
+    parts = []
+    for item in text.split(",") if text else ():
+        name, _, size = item.strip().partition(":")
+        if not size.isdigit():
+            return ()
+        parts.append(routing.PromptPart(name, int(size)))
+    return tuple(parts)
+
+
+def read_request(
+    method: bytes, target: bytes, raw: Iterable[tuple[bytes, bytes]]
+) -> routing.RequestHead:
+    """Read a caller's request.
+
+    Args:
+      method: HTTP method.
+      target: Path and query, as sent.
+      raw: Headers in the order and spelling in which they came.
+
+    Returns:
+      What the headers say, and those to pass on.
+    """
+    items = list(raw)
+    fields = {name.lower(): value for name, value in items}
+    prompt, output = _tokens(_text(fields, names.TOKENS))
+    deadline = _number(fields, names.DEADLINE_MS)
+    last_event = _text(fields, names.LAST_EVENT)
+    dropped = names.SYSTEM_HEADERS | names.CONNECTION_HEADERS | _listed(fields)
+    return routing.RequestHead(
+        id=_text(fields, names.REQUEST_ID),
+        method=method.decode("latin-1"),
+        target=target.decode("latin-1"),
+        host=_text(fields, b"host").lower().partition(":")[0],
+        key=_text(fields, names.KEY) if names.KEY in fields else None,
+        deadline_s=None if deadline is None else deadline / MS_PER_S,
+        model=_text(fields, names.MODEL),
+        prompt_tokens=prompt,
+        output_tokens=output,
+        parts=_parts(_text(fields, names.PROMPT_PARTS)),
+        session=_text(fields, names.SESSION),
+        last_event=int(last_event) if last_event.isdigit() else None,
+        headers=tuple(item for item in items if item[0].lower() not in dropped),
+    )
+
+
+def _listed(fields: dict[bytes, bytes]) -> frozenset[bytes]:
+    """The headers that ``Connection`` names: they concern that connection only."""
+    kept = {names.REQUEST_ID, names.MODEL, names.TOKENS, names.PROMPT_PARTS, b"host"}
+    listed = {item.strip().lower() for item in fields.get(b"connection", b"").split(b",")}
+    return frozenset(listed - kept)
+
+
+def write_order(req: routing.Request, order: routing.Order) -> Headers:
+    """Write the headers of a request that is passed on to an engine."""
+    headers: Headers = []
+    for name, value in req.head.headers:
+        if name.lower() == names.MODEL and order.model:
+            value = order.model.encode("latin-1")
+        headers.append((name, value))
+    left_ms = max(1, int(order.deadline_s * MS_PER_S))
+    headers.append((names.DEADLINE_MS, str(left_ms).encode()))
+    headers.append((names.TARGET_ENGINE, order.engine_id.encode("latin-1")))
+    if req.organisation is not None:
+        headers.append((names.ORGANISATION, req.organisation.encode("latin-1")))
+    if order.last_event is not None:
+        headers.append((names.LAST_EVENT, str(order.last_event).encode()))
+    if req.body or req.head.method not in ("GET", "HEAD", "DELETE"):
+        headers.append((b"content-length", str(len(req.body)).encode()))
+    return headers
+
+
+def _keep_alive(fields: dict[bytes, bytes]) -> float | None:
+    for item in fields.get(b"keep-alive", b"").split(b","):
+        name, _, value = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(value)
+    return None
+
+
+def read_answer(status: int, raw: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
+    """Read the head of an engine's answer."""
+    items = list(raw)
+    fields = {name.lower(): value for name, value in items}
+    confidence = _number(fields, names.CONFIDENCE)
+    cold_ms = _number(fields, names.WARMUP_MS)
+    dropped = names.CONNECTION_HEADERS | _listed(fields)
+    return AnswerHead(
+        status=status,
+        request_id=_text(fields, names.REQUEST_ID),
+        signed=names.SIGNATURE in fields,
+        not_run=names.NOT_RUN in fields or status == 421,
+        encoded=fields.get(b"content-encoding", b"identity").lower() not in (b"", b"identity"),
+        confidence=None if confidence is None else int(confidence),
+        retry_after_s=_number(fields, names.RETRY_AFTER),
+        cold_s=None if cold_ms is None else cold_ms / MS_PER_S,
+        closes=b"close" in fields.get(b"connection", b"").lower(),
+        keep_alive_s=_keep_alive(fields),
+        headers=tuple(item for item in items if item[0].lower() not in dropped),
+    )
+
+
+def write_refusal(request_id: str, retry_after_s: float | None) -> Headers:
+    """Write the headers of an answer of the gateway's own."""
+    headers: Headers = [(b"content-length", b"0")]
+    if request_id:
+        headers.append((names.REQUEST_ID, request_id.encode("latin-1")))
+    if retry_after_s is not None:
+        headers.append((names.RETRY_AFTER, f"{retry_after_s:.2f}".encode()))
+    return headers
--- a/berylrock/scripts/daemons.py
+++ b/berylrock/scripts/daemons.py
@@ -4,8 +4,6 @@
 import importlib
 from typing import Any
 
-from berylrock.loader import settings
-
 __all__ = ["add_commands"]
 
 STAND_INS = {
@@ -26,6 +24,16 @@
     )
     entry.add_argument("settings", help="file of JSON with comments; see docs/SETTINGS.md")
     entry.set_defaults(run=_run_entry)
+    gateway = commands.add_parser(
+        "gateway",
+        help="run a gateway on the users' platform",
+        description="Runs the process of an entry VM on the users' platform. SIGTERM stops it "
+        "gracefully; SIGHUP reads the settings again.",
+    )
+    gateway.add_argument(
+        "settings", nargs="?", help="settings file of the platform; default: its usual place"
+    )
+    gateway.set_defaults(run=_run_gateway)
     sidecar = commands.add_parser(
         "sidecar",
         help="run the process beside a backend server",
@@ -50,16 +58,25 @@
 
 
 def _run_entry(args: argparse.Namespace) -> int:
+    settings = _import("loader.settings")
     _import("daemons.entry.process").run(settings.load(args.settings, settings.EntrySettings))
     return 0
 
 
+def _run_gateway(args: argparse.Namespace) -> int:
+    path = args.settings or _import("platform.settings").default_path()
+    _import("daemons.gateway.process").run(path)
+    return 0
+
+
 def _run_sidecar(args: argparse.Namespace) -> int:
+    settings = _import("loader.settings")
     _import("daemons.sidecar.process").run(settings.load(args.settings, settings.SidecarSettings))
     return 0
 
 
 def _run_standin(args: argparse.Namespace) -> int:
+    settings = _import("loader.settings")
     module = _import(f"standins.{args.kind}")
     module.run(settings.load(args.options, getattr(module, STAND_INS[args.kind])))
     return 0
