Cut the calls to the store: watch longer, read peers from stale lists

Change: peers are read from stale lists, records are written only when they have news, watches wait as long as the bounds on silent connections allow.

--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -9,7 +9,7 @@
 
 __all__ = ["RolloutControl", "SelfRecord"]
 
-HEARTBEAT_S = 3.0
+HEARTBEAT_S = 5.0
 EVIDENCE_S = 0.6
 # Gateways act one after the other, so that mostly one writes.
 TURN_S = 0.35
@@ -43,8 +43,7 @@
         now = freshness.suspended_clock()
         record = self._make()
         age = now - self._written_at
-        news = self._written is None or record.suspects != self._written.suspects
-        news = news or record.evidence != self._written.evidence  # type: ignore[union-attr]
+        news = self._written is None or self._has_news(record, self._written)
         if age < EVIDENCE_S or (age < HEARTBEAT_S and not news):
             return
         self._beat += 1
@@ -59,6 +58,15 @@
             self._revision = None
             self._ctx.log.write("record_not_written", error=str(exc))
 
+    @staticmethod
+    def _has_news(record: routing.Peer, written: routing.Peer) -> bool:
+        """Whether others should know at once: new suspects, or bad answers of a version."""
+        if record.suspects != written.suspects:
+            return True
+        return any(
+            bad > written.evidence.get(key, (0, 0))[1] for key, (_, bad) in record.evidence.items()
+        )
+
     async def _write(self, record: routing.Peer) -> None:
         spec, store = decoding.write_peer(record), self._ctx.store
         if self._revision is None:
--- a/berylrock/daemons/gateway/picture.py
+++ b/berylrock/daemons/gateway/picture.py
@@ -2,18 +2,19 @@
 
 import asyncio
 
-from berylrock.core import message, routing
+from berylrock.core import errors, message, routing
 from berylrock.daemons.gateway import context, watching
 from berylrock.ops import engineset, freshness, routetable
 from berylrock.platform import decoding, names
 
 __all__ = ["Picture"]
 
-CONFIG_WAIT_S = 1.2
-ENGINES_WAIT_S = 1.2
-ORDERS_WAIT_S = 2.0
-PEERS_WAIT_S = 4.0
-PEER_LIFE_S = 10.0
+# A connection that goes silent is noticed soon enough to keep the bounds on configurations and on
+# engines that leave, which begin anew when connections fail.
+CONFIG_WAIT_S = 2.0
+ENGINES_WAIT_S = 2.0
+ORDERS_WAIT_S = 3.5
+PEER_LIFE_S = 16.0
 
 
 class Picture:
@@ -31,7 +32,6 @@
             watching.KindWatch(names.ENGINES_KIND, ENGINES_WAIT_S, self._take_engines),
             watching.KindWatch(names.ROLLOUTS_KIND, ORDERS_WAIT_S, self._take_rollouts),
             watching.KindWatch(names.EVACUATIONS_KIND, ORDERS_WAIT_S, self._take_evacuations),
-            watching.KindWatch(names.PEERS_KIND, PEERS_WAIT_S, self._take_peers),
         )
 
     def _take_config(self, listing: decoding.Listing, whole: bool) -> None:
@@ -108,20 +108,23 @@
             self._ctx.engines.evacuated = frozenset(zones)
             self._ctx.log.write("zones_out_of_use", zones=",".join(sorted(zones)))
 
-    def _take_peers(self, listing: decoding.Listing, whole: bool) -> None:
+    async def read_peers(self) -> None:
+        """Read what the other gateways say of themselves; a list that is seconds old will do."""
+        try:
+            listing = await self._ctx.store.list(names.PEERS_KIND, stale=True)
+        except (errors.StoreUnavailable, errors.NotFound) as exc:
+            self._ctx.log.write("peers_not_read", error=str(exc))
+            return
+        self._take_peers(listing.objects)
+
+    def _take_peers(self, objects: tuple[decoding.Stored, ...]) -> None:
         now = asyncio.get_running_loop().time()
         peers = self._ctx.peers
-        if whole:
-            listed = {item.name for item in listing.objects}
-            for name in [name for name in peers if name not in listed]:
-                del peers[name]
-        for stored in listing.objects:
+        listed = {item.name for item in objects}
+        for name in [name for name in peers if name not in listed]:
+            del peers[name]
+        for stored in objects:
             self._put_peer(stored, now)
-        for event in listing.events:
-            if event.deleted:
-                peers.pop(event.stored.name, None)
-            else:
-                self._put_peer(event.stored, now)
         self.expire_peers(now)
 
     def _put_peer(self, stored: decoding.Stored, now: float) -> None:
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -17,6 +17,7 @@
 SWEEP_S = 0.5
 RECORD_S = 0.3
 CONTROL_S = 0.25
+PEERS_S = 1.5
 SETTINGS_S = 1.0
 
 
@@ -87,6 +88,7 @@
             clock.spawn(watching.Watcher(self._ctx, what).run())
         clock.every(SWEEP_S, self._sweep)
         clock.every(RECORD_S, self._record.tend)
+        clock.every(PEERS_S, self._picture.read_peers)
         clock.every(CONTROL_S, self._control.tend)
         clock.every(SETTINGS_S, self._look_at_settings)
 
--- a/berylrock/platform/store.py
+++ b/berylrock/platform/store.py
@@ -37,12 +37,15 @@
         self.calls = 0
         self._idle: list[http1.EngineLink] = []
 
-    async def list(self, kind: str) -> decoding.Listing:
-        """Read all objects of a kind, page by page."""
+    async def list(self, kind: str, stale: bool = False) -> decoding.Listing:
+        """Read all objects of a kind, page by page; a ``stale`` list may be seconds old."""
         objects: list[decoding.Stored] = []
         after, revision = "", 0
         while True:
-            query = f"?after={parse.quote(after)}" if after else ""
+            words = {"after": after} if after else {}
+            if stale:
+                words["allow-stale"] = "1"
+            query = f"?{parse.urlencode(words)}" if words else ""
             page = decoding.read_listing(await self._get(f"/objects/{kind}{query}", 0.0))
             if page is None:
                 raise errors.StoreUnavailable(f"unreadable list of {kind}; tried again by itself")
