Leave an engine only if it is silent on all connections

Ruled out: engine faults: the engines went on with their other answers. Change: an engine is left early only if nothing came from it on any connection.

--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -11,7 +11,7 @@
 
 from berylrock.core import errors
 
-__all__ = ["AnswerBroken", "CallerLink", "ConnectFailed", "EngineLink", "Reader"]
+__all__ = ["AnswerBroken", "AnswerEvent", "CallerLink", "ConnectFailed", "EngineLink", "Reader"]
 
 READ_BYTES = 16_384
 WRITE_BUFFER_BYTES = 65_536
@@ -22,6 +22,7 @@
 KEEPALIVE_PROBES = 2
 
 Headers = list[tuple[bytes, bytes]]
+AnswerEvent = h11.Response | h11.Data | h11.EndOfMessage
 
 
 class ConnectFailed(errors.BerylrockError):
@@ -245,7 +246,7 @@
         except OSError as exc:
             raise AnswerBroken(f"broke while the request was sent: {exc!r}") from exc
 
-    async def next_event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
+    async def next_event(self) -> AnswerEvent:
         """The next part of the answer.
 
         Raises:
@@ -264,7 +265,7 @@
                 raise AnswerBroken(f"not an answer: {exc}") from exc
             if isinstance(event, h11.InformationalResponse):
                 continue
-            if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
+            if isinstance(event, AnswerEvent):
                 return event
             raise AnswerBroken("the connection was closed before the answer")
 
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -8,7 +8,7 @@
 from berylrock.adapters import http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import context, pool
-from berylrock.ops import engineset, pacing, selection, staging
+from berylrock.ops import engineset, pacing, patience, selection, staging
 from berylrock.platform import translating
 
 __all__ = ["Attempt", "Failure", "Opened", "Sender"]
@@ -16,6 +16,7 @@
 MAX_RUNNING_SHARE = 1.5
 LEAST_RUNNING = 4
 DEFAULT_BUSY_PAUSE_S = 0.15
+WAIT_STEP_S = 0.1
 
 
 class Failure(NamedTuple):
@@ -57,12 +58,47 @@
         self._work = selection.size_of(req.head)
         self._open = False
 
-    async def start(self, last_event: int | None, hang_s: float | None) -> "Opened | Failure":
+    async def next_event(self, wait: patience.Patience | None) -> http1.AnswerEvent:
+        """Read the next part of the answer.
+
+        Args:
+          wait: When to leave a silent engine; None to wait to the request's end.
+
+        Returns:
+          The part.
+
+        Raises:
+          TimeoutError: The engine is given up, or the request's time is over.
+          AnswerBroken: The answer ended early, or is none.
+        """
+        assert self.link is not None
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        while True:
+            limit = self._req.expires_at
+            if wait is not None:
+                limit = min(limit, max(since + wait.dead_s, loop.time() + WAIT_STEP_S))
+            try:
+                async with asyncio.timeout_at(limit):
+                    event = await self.link.next_event()
+            except TimeoutError:
+                now = loop.time()
+                if wait is None or now >= self._req.expires_at:
+                    raise
+                if patience.is_dead(now, since, self.state.heard_at, wait):
+                    raise
+                continue
+            self.state.heard_at = loop.time()
+            return event
+
+    async def start(
+        self, last_event: int | None, wait: patience.Patience | None
+    ) -> "Opened | Failure":
         """Send the request and read the head of the answer.
 
         Args:
           last_event: The last event that the caller has, to go on after it.
-          hang_s: Time after which a silent engine is given up; None to wait to the end.
+          wait: When to leave a silent engine; None to wait to the request's end.
 
         Returns:
           The answer's head, or why there is none.
@@ -82,11 +118,9 @@
         left_s = req.expires_at - loop.time()
         order = routing.Order(engine.id, max(0.001, left_s), self.model, last_event)
         headers = translating.write_order(req, order)
-        limit_s = max(0.01, left_s if hang_s is None else min(left_s, hang_s))
         try:
-            async with asyncio.timeout(limit_s):
-                await self.link.send(req.head.method, req.head.target, headers, req.body)
-                event = await self.link.next_event()
+            await self.link.send(req.head.method, req.head.target, headers, req.body)
+            event = await self.next_event(wait)
         except TimeoutError:
             return self._fail("silent")
         except http1.AnswerBroken as exc:
@@ -244,7 +278,7 @@
         state: engineset.EngineState,
         model: str,
         last_event: int | None,
-        hang_s: float | None,
+        wait: patience.Patience | None,
     ) -> Opened | Failure:
         """Send the request to an engine."""
         self.sends += 1
@@ -254,7 +288,7 @@
         self.runs += 1
         self.tried.add(state.engine.id)
         try:
-            result = await attempt.start(last_event, hang_s)
+            result = await attempt.start(last_event, wait)
         except BaseException:
             attempt.end()
             raise
--- a/berylrock/ops/budget.py
+++ b/berylrock/ops/budget.py
@@ -33,7 +33,7 @@
     takes its part of what is allowed on top, so that nobody need be asked.
     """
 
-    SAFETY = 0.8
+    SAFETY = 0.95
 
     def __init__(self) -> None:
         self._requests: collections.deque[float] = collections.deque()
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -24,6 +24,7 @@
       health: Evidence from its answers.
       running: Requests of this process that it holds.
       work: Sum of the sizes of those, in tokens.
+      heard_at: When anything last came from it, on any connection.
       lapsed_at: When its entry vanished around an outage of the store; None if it has one.
     """
 
@@ -33,6 +34,7 @@
         self.health = health.EngineHealth()
         self.running = 0
         self.work = 0.0
+        self.heard_at = 0.0
         self.lapsed_at: float | None = None
 
     def begin(self, work: float, now: float) -> None:
