Move a request only where another engine can take it; pace warm engines less

Change: step-ups, stalls and silent engines move on only if a choice and the retry budget allow it; engines held to be warm get three times the cold share; readiness ends with fresh knowledge.

--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at an engine: choose it, send the request, read the head of its answer."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -8,12 +9,12 @@
 from berylrock.adapters import http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import context, pool
-from berylrock.ops import engineset, pacing, patience, selection, staging
+from berylrock.ops import budget, engineset, pacing, patience, selection, staging
 from berylrock.platform import translating
 
 __all__ = ["Attempt", "Failure", "Opened", "Sender"]
 
-MAX_RUNNING_SHARE = 1.5
+MAX_RUNNING_SHARE = 2.0
 LEAST_RUNNING = 4
 DEFAULT_BUSY_PAUSE_S = 0.15
 WAIT_STEP_S = 0.1
@@ -47,6 +48,7 @@
         req: routing.Request,
         state: engineset.EngineState,
         model: str,
+        can_leave: Callable[[], bool],
     ) -> None:
         self.state = state
         self.model = model
@@ -55,6 +57,7 @@
         self._ctx = ctx
         self._conns = conns
         self._req = req
+        self._can_leave = can_leave
         self._work = selection.size_of(req.head)
         self._open = False
 
@@ -85,7 +88,8 @@
                 now = loop.time()
                 if wait is None or now >= self._req.expires_at:
                     raise
-                if patience.is_dead(now, since, self.state.heard_at, wait):
+                dead = patience.is_dead(now, since, self.state.heard_at, wait)
+                if dead and self._can_leave():
                     raise
                 continue
             self.state.heard_at = loop.time()
@@ -113,6 +117,7 @@
             self.link = await self._conns.take(engine, sure)
         except http1.ConnectFailed as exc:
             self.state.health.note_unreachable(loop.time())
+            self.state.doubt_warmth(loop.time())
             self.end()
             return Failure(False, f"unreachable: {exc}")
         left_s = req.expires_at - loop.time()
@@ -220,15 +225,26 @@
             return 0 if self.runs else 1
         return self._req.route.max_attempts - self.runs
 
+    def _limits(self) -> budget.RepeatLimits:
+        bounds = self._ctx.cfg.bounds
+        extra = bounds.retry_extra / self._ctx.gateways()
+        return budget.RepeatLimits(bounds.retry_ratio, bounds.retry_window_s, extra)
+
     def may_repeat(self) -> bool:
         """Spend one repeat of the service's retry budget, if this is one."""
         if self.sends == 0:
             return True
-        bounds, ctx = self._ctx.cfg.bounds, self._ctx
         now = asyncio.get_running_loop().time()
-        extra = bounds.retry_extra / ctx.gateways()
-        budget = ctx.budget_for(self._req.service)
-        return budget.take(now, bounds.retry_ratio, bounds.retry_window_s, extra)
+        return self._ctx.budget_for(self._req.service).take(now, self._limits())
+
+    def can_move(self, model: str, reserve: float = 0.0) -> bool:
+        """Tell whether another engine could take the request now, within the retry budget."""
+        if self.runs_left < 1:
+            return False
+        now = asyncio.get_running_loop().time()
+        if not self._ctx.budget_for(self._req.service).allows(now, self._limits(), reserve):
+            return False
+        return self.choose(model) is not None
 
     def choose(self, model: str) -> engineset.EngineState | None:
         """Choose an engine of the version that the request's session is to have."""
@@ -283,7 +299,9 @@
         """Send the request to an engine."""
         self.sends += 1
         self.note_session()
-        attempt = Attempt(self._ctx, self._conns, self._req, state, model)
+        attempt = Attempt(
+            self._ctx, self._conns, self._req, state, model, lambda: self.can_move(model)
+        )
         # Counted from the start: the request may run from its first byte on.
         self.runs += 1
         self.tried.add(state.engine.id)
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -2,7 +2,7 @@
 
 import random
 
-from berylrock.core import errors, eventlog, histograms, metrics, routing, timer
+from berylrock.core import eventlog, histograms, metrics, routing, timer
 from berylrock.ops import (
     budget,
     engineset,
@@ -14,11 +14,10 @@
 )
 from berylrock.platform import store
 
-__all__ = ["Context", "NotReady"]
+__all__ = ["Context"]
 
-
-class NotReady(errors.BerylrockError):
-    """The gateway knows no configuration yet, or one that is too old to go by."""
+# A gateway that has lost the store sends callers elsewhere before it has to refuse them.
+READY_AGE_S = 3.2
 
 
 class Context:
@@ -78,7 +77,9 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self.table is not None and self.engines_known and not self.stopping
+        if self.table is None or not self.engines_known or self.stopping:
+            return False
+        return self.fresh.age(freshness.suspended_clock()) < READY_AGE_S
 
     def gateways(self) -> int:
         """Gateways that may be sending, this one included."""
--- a/berylrock/daemons/gateway/picture.py
+++ b/berylrock/daemons/gateway/picture.py
@@ -65,7 +65,7 @@
         for event in listing.events:
             engine = None if event.deleted else decoding.read_engine(event.stored)
             if engine is not None:
-                changes.append(ctx.engines.put(engine))
+                changes.append(ctx.engines.put(engine, now))
             else:
                 changes.append(ctx.engines.remove(event.stored.name, now))
         for change in changes:
@@ -105,7 +105,8 @@
             else:
                 zones.add(event.stored.name)
         if zones != self._ctx.engines.evacuated:
-            self._ctx.engines.evacuated = frozenset(zones)
+            now = asyncio.get_running_loop().time()
+            self._ctx.engines.set_evacuated(frozenset(zones), now)
             self._ctx.log.write("zones_out_of_use", zones=",".join(sorted(zones)))
 
     async def read_peers(self) -> None:
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -9,6 +9,8 @@
 __all__ = ["StreamForwarding"]
 
 SERVER_ERROR = 500
+# Share of the retry budget that steps up leave to repeats after failures.
+STEP_UP_RESERVE = 0.2
 DEFAULT_PAUSE_S = 2.0
 LEAST_EVENTS_TO_TIME = 4
 
@@ -72,6 +74,9 @@
         return opened.head.status < 300 and any(b"event-stream" in kind for kind in kinds)
 
     def _trusted(self, opened: attempt.Opened) -> bool:
+        larger = steps.next_step(self.req.route)
+        if not self.sender.can_move(larger.model, STEP_UP_RESERVE):
+            return True
         return steps.accepts(
             self._step,
             opened.head.confidence,
--- a/berylrock/ops/budget.py
+++ b/berylrock/ops/budget.py
@@ -1,8 +1,9 @@
 """Limits on rates: the retry budgets and the quotas of organisations."""
 
 import collections
+from typing import NamedTuple
 
-__all__ = ["RetryBudget", "TokenBucket", "WindowBudget"]
+__all__ = ["RepeatLimits", "RetryBudget", "TokenBucket", "WindowBudget"]
 
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 20.0
@@ -26,6 +27,20 @@
         return True
 
 
+class RepeatLimits(NamedTuple):
+    """Bounds on the repeats of one gateway at a service.
+
+    Attributes:
+      ratio: Repeats allowed for each request.
+      window_s: The window.
+      extra: Repeats that this gateway may make on top in a window.
+    """
+
+    ratio: float
+    window_s: float
+    extra: float
+
+
 class WindowBudget:
     """Bounds the repeats at a service in any window, as a share of its requests.
 
@@ -43,23 +58,26 @@
         """A request for the service came in."""
         self._requests.append(now)
 
-    def take(self, now: float, ratio: float, window_s: float, extra: float) -> bool:
-        """Spend one repeat.
+    def allows(self, now: float, limits: RepeatLimits, reserve: float = 0.0) -> bool:
+        """Tell whether a repeat could be made that leaves a share of the budget to others.
 
         Args:
           now: Time in seconds.
-          ratio: Repeats allowed for each request.
-          window_s: The window.
-          extra: Repeats that this gateway may make on top.
+          limits: The bounds.
+          reserve: Share of the budget that has to be left, 0 to 1.
 
         Returns:
-          Whether there was one.
+          Whether there is one.
         """
         for times in (self._requests, self._repeats):
-            while times and times[0] <= now - window_s:
+            while times and times[0] <= now - limits.window_s:
                 times.popleft()
-        allowed = self.SAFETY * (ratio * len(self._requests) + extra)
-        if len(self._repeats) + 1 > allowed:
+        allowed = self.SAFETY * (limits.ratio * len(self._requests) + limits.extra)
+        return len(self._repeats) + 1 <= allowed * (1.0 - reserve)
+
+    def take(self, now: float, limits: RepeatLimits) -> bool:
+        """Spend one repeat; returns whether there was one."""
+        if not self.allows(now, limits):
             return False
         self._repeats.append(now)
         return True
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -13,6 +13,8 @@
 __all__ = ["EngineSet", "EngineState"]
 
 RETURN_GRACE_S = 2.3
+# An engine that could not be reached, or whose zone was out of use, may come back cold.
+COLD_DOUBT_S = 5.0
 
 
 class EngineState:
@@ -25,6 +27,7 @@
       running: Requests of this process that it holds.
       work: Sum of the sizes of those, in tokens.
       heard_at: When anything last came from it, on any connection.
+      cold_until: When it is warm by what is known.
       lapsed_at: When its entry vanished around an outage of the store; None if it has one.
     """
 
@@ -35,6 +38,7 @@
         self.running = 0
         self.work = 0.0
         self.heard_at = 0.0
+        self.cold_until = 0.0
         self.lapsed_at: float | None = None
 
     def begin(self, work: float, now: float) -> None:
@@ -43,6 +47,10 @@
         self.work += work
         self.pace.note(now)
 
+    def doubt_warmth(self, now: float, seconds: float = COLD_DOUBT_S) -> None:
+        """The engine is cold, or may be, for so long."""
+        self.cold_until = max(self.cold_until, now + seconds)
+
     def end(self, work: float) -> None:
         """A request is over."""
         self.running -= 1
@@ -85,16 +93,26 @@
             return True
         return self._store_back_at is not None and now - self._store_back_at < RETURN_GRACE_S
 
-    def put(self, engine: routing.Engine) -> Change | None:
+    def set_evacuated(self, zones: frozenset[str], now: float) -> None:
+        """Take which zones are out of use; one that returns may be cold."""
+        returned = self.evacuated - zones
+        self.evacuated = zones
+        for state in self._states.values():
+            if state.engine.zone in returned:
+                state.doubt_warmth(now)
+
+    def put(self, engine: routing.Engine, now: float) -> Change | None:
         """Take an engine's entry; returns what changed, if anything that matters did."""
         state = self._states.get(engine.id)
         if state is None:
-            self._states[engine.id] = EngineState(engine)
+            state = self._states[engine.id] = EngineState(engine)
+            state.doubt_warmth(now, engine.cold_s)
             return Change(engine.id, "draining" if engine.draining else "added")
         if engine.revision < state.engine.revision:
             return None
         was = state.engine
         state.engine, state.lapsed_at = engine, None
+        state.doubt_warmth(now, engine.cold_s)
         if was.draining != engine.draining:
             return Change(engine.id, "draining" if engine.draining else "ready")
         return None
@@ -115,7 +133,7 @@
     def replace(self, engines: tuple[routing.Engine, ...], now: float) -> list[Change]:
         """Take a whole list: entries that it lacks are gone."""
         listed = {item.id for item in engines}
-        found = [self.put(item) for item in engines]
+        found = [self.put(item, now) for item in engines]
         missing = [name for name in self._states if name not in listed]
         found += [self.remove(name, now) for name in missing]
         return [item for item in found if item is not None]
--- a/berylrock/ops/pacing.py
+++ b/berylrock/ops/pacing.py
@@ -1,19 +1,21 @@
-"""Bounds how many requests a second a process sends to an engine that may be cold.
+"""Bounds how many requests a second a process sends to an engine that is or may be cold.
 
-An engine can turn cold without a word. The bound for cold engines is a sum over all gateways, so
-each keeps to its share of it at all times; a warm engine seldom gets more from one gateway.
+The bound for cold engines is a sum over all gateways; each keeps to its share of it. An engine can
+turn cold without a word, so one that is held to be warm gets a bounded rate too: as long as the
+gateways do not all press at the same moment, the sum stays within what a cold engine bears.
 """
 
 import collections
 
 from berylrock.core import routing
 
-__all__ = ["Pace", "share_per_second"]
+__all__ = ["Pace", "limit_for", "share_per_second"]
 
 WINDOW_S = 1.0
 # Requests leave here and arrive a little apart from that: the window that is counted at the engine
 # may hold one from before ours.
 WINDOW_MARGIN_S = 0.15
+WARM_FACTOR = 3
 
 
 def share_per_second(service: routing.Service, bounds: routing.Bounds, gateways: int) -> int | None:
@@ -33,6 +35,11 @@
     return max(1, int(total / max(1, gateways)))
 
 
+def limit_for(share: int | None, cold: bool) -> int | None:
+    """The share that holds for an engine now."""
+    return share if share is None or cold else share * WARM_FACTOR
+
+
 class Pace:
     """The requests that were sent to one engine in the last second."""
 
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import engineset
+from berylrock.ops import engineset, pacing
 
 __all__ = ["Pick", "affinity_key", "choose", "size_of"]
 
@@ -31,7 +31,7 @@
     Attributes:
       zone: The gateway's own zone.
       key: The prompt part to stay with; empty if there is none.
-      limit_per_s: Requests that one engine may get a second; None for no bound.
+      limit_per_s: Requests that a cold engine may get a second; None for no bound.
       max_running: Requests of this gateway that one engine may hold.
       tried: Engines that this request was sent to before.
       now: The loop's clock.
@@ -80,7 +80,9 @@
         for item in states
         if item.engine.id not in pick.tried
         and item.health.usable(pick.now)
-        and item.pace.allows(pick.limit_per_s, pick.now)
+        and item.pace.allows(
+            pacing.limit_for(pick.limit_per_s, item.cold_until > pick.now), pick.now
+        )
         and item.running < pick.max_running
     ]
     if not able:
