--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -245,14 +245,14 @@
     Attributes:
       name: Name of its VM.
       beat: Grows with each of its heartbeats.
-      evidence: Answers and bad answers by ``service version`` since the roll-out began.
+      evidence: Answers, failed and slow ones by ``service version`` since the roll-out began.
       suspects: Fingerprints of requests, and the engines that fell while they held them.
       revision: The store's revision of the record.
     """
 
     name: str
     beat: int
-    evidence: dict[str, tuple[int, int]]
+    evidence: dict[str, tuple[int, int, int]]
     suspects: dict[str, tuple[str, ...]]
     revision: int
 
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -17,7 +17,7 @@
 __all__ = ["Context"]
 
 # A gateway that has lost the store sends callers elsewhere before it has to refuse them.
-READY_AGE_S = 3.2
+READY_AGE_S = 4.3
 
 
 class Context:
@@ -96,8 +96,8 @@
         vetoed = rollout is not None and (service, rollout.target) in self.vetoes
         return staging.make_plan(rollout, engines, vetoed)
 
-    def note_result(self, service: str, version: str, good: bool) -> None:
+    def note_result(self, service: str, version: str, failed: bool, slow: bool = False) -> None:
         """Take the result of an answer as evidence for or against a version."""
         key = (service, version)
-        old = self.evidence.get(key, staging.Evidence())
-        self.evidence[key] = staging.Evidence(old.answers + 1, old.bad + (not good))
+        result = staging.Evidence(1, int(failed), int(slow and not failed))
+        self.evidence[key] = self.evidence.get(key, staging.Evidence()).plus(result)
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -29,7 +29,7 @@
         ctx = self._ctx
         running = {item.service for item in ctx.rollouts.values() if item.state == "running"}
         evidence = {
-            f"{service} {version}": (item.answers, item.bad)
+            f"{service} {version}": (item.answers, item.errors, item.slow)
             for (service, version), item in ctx.evidence.items()
             if service in running
         }
@@ -64,7 +64,8 @@
         if record.suspects != written.suspects:
             return True
         return any(
-            bad > written.evidence.get(key, (0, 0))[1] for key, (_, bad) in record.evidence.items()
+            errors + slow > sum(written.evidence.get(key, (0, 0, 0))[1:])
+            for key, (_, errors, slow) in record.evidence.items()
         )
 
     async def _write(self, record: routing.Peer) -> None:
@@ -118,13 +119,12 @@
 
     def _pool(self, service: str, version: str | None) -> staging.Evidence:
         """Results of a version, of this gateway and the others."""
-        own = self._ctx.evidence.get((service, version or ""), staging.Evidence())
-        answers, bad = own.answers, own.bad
+        found = self._ctx.evidence.get((service, version or ""), staging.Evidence())
         for name, (peer, _) in self._ctx.peers.items():
             if name != self._ctx.cfg.name:
-                more = peer.evidence.get(f"{service} {version}", (0, 0))
-                answers, bad = answers + more[0], bad + more[1]
-        return staging.Evidence(answers, bad)
+                more = peer.evidence.get(f"{service} {version}", (0, 0, 0))
+                found = found.plus(staging.Evidence(*more))
+        return found
 
     async def tend(self) -> None:
         """Look at every roll-out."""
@@ -155,8 +155,8 @@
                 "version_vetoed",
                 service=rollout.service,
                 target=rollout.target,
-                trial=f"{trial.bad}/{trial.answers}",
-                usual=f"{usual.bad}/{usual.answers}",
+                trial=str(trial),
+                usual=str(usual),
             )
         late_s = 0.0 if key in ctx.vetoes else self._turn() * TURN_S
         verdict = staging.decide(
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -78,7 +78,7 @@
             state.health.note_answer(started_s)
         else:
             state.health.note_failure(self.now)
-        self.ctx.note_result(self.req.service, state.engine.version, good)
+        self.ctx.note_result(self.req.service, state.engine.version, failed=not good)
 
     async def run(self) -> None:
         """Forward a call that has one whole answer."""
@@ -103,7 +103,8 @@
 
     def _note_failure(self, state: engineset.EngineState, failure: attempt.Failure) -> None:
         if failure.may_have_run:
-            self.ctx.note_result(self.req.service, state.engine.version, False)
+            silent = failure.reason == attempt.SILENT
+            self.ctx.note_result(self.req.service, state.engine.version, not silent, silent)
         self.ctx.log.write(
             "attempt_failed",
             request=self.req.head.id,
--- a/berylrock/daemons/gateway/picture.py
+++ b/berylrock/daemons/gateway/picture.py
@@ -11,7 +11,8 @@
 
 # A connection that goes silent is noticed soon enough to keep the bounds on configurations and on
 # engines that leave, which begin anew when connections fail.
-CONFIG_WAIT_S = 2.0
+# The configuration has to be confirmed more often: its age decides whether keys are still good.
+CONFIG_WAIT_S = 1.2
 ENGINES_WAIT_S = 2.0
 ORDERS_WAIT_S = 3.5
 PEER_LIFE_S = 16.0
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -159,14 +159,13 @@
         state, model = opened.attempt.state, opened.attempt.model
         plan = self.ctx.plan_for(self.req.service)
         on_trial = plan.trial is not None and state.engine.version == plan.trial
-        good = whole
-        if on_trial and self.ctx.norms.is_slow(self.req.service, model, timing):
-            good = False
+        # Routes differ in the size of their prompts, so each has its own usual times.
+        slow = on_trial and self.ctx.norms.is_slow(self.req.route.name, model, timing)
         if whole and not on_trial:
-            self.ctx.norms.note(self.req.service, model, timing)
+            self.ctx.norms.note(self.req.route.name, model, timing)
         if whole:
             state.health.note_answer(timing.first_s)
-            self.ctx.note_result(self.req.service, state.engine.version, good)
+            self.ctx.note_result(self.req.service, state.engine.version, False, slow)
             opened.attempt.end_whole(opened.head)
         else:
             self.note_result(opened, False, timing.first_s)
--- a/berylrock/daemons/gateway/watching.py
+++ b/berylrock/daemons/gateway/watching.py
@@ -1,7 +1,7 @@
 """Keeps the gateway's picture of the store up to date: one task a kind of object."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from berylrock.core import errors
@@ -14,8 +14,6 @@
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 
-Take = Callable[[decoding.Listing, bool], Awaitable[None] | None]
-
 
 class KindWatch(NamedTuple):
     """A kind of object to watch.
@@ -24,13 +22,14 @@
       kind: The kind.
       wait_s: Longest wait of one call; also how soon a silent connection is noticed.
       take: Takes a whole list (True) or changes (False).
-      confirmed: Takes when a call was sent that confirmed the picture, or None.
+      confirmed: Takes when a call was sent that confirmed the picture, and for how long it waited
+        without a change; None if nobody asks.
     """
 
     kind: str
     wait_s: float
     take: Callable[[decoding.Listing, bool], None]
-    confirmed: Callable[[float], None] | None = None
+    confirmed: Callable[[float, float], None] | None = None
 
 
 class Watcher:
@@ -48,7 +47,7 @@
         while True:
             sent_at = freshness.suspended_clock()
             try:
-                await self._step()
+                quiet_s = await self._step()
             except store.HistoryGone:
                 self._ctx.log.write("history_gone", kind=self._what.kind)
                 self._revision = None
@@ -56,10 +55,12 @@
             except (errors.StoreUnavailable, errors.NotFound, errors.Conflict) as exc:
                 await self._note_lost(exc)
                 continue
-            self._note_answer(sent_at)
+            self._note_answer(sent_at, quiet_s)
 
-    async def _step(self) -> None:
+    async def _step(self) -> float:
+        """Make one call; returns for how long the store waited without a change."""
         what = self._what
+        quiet_s = 0.0
         if self._revision is None:
             listing = await self._ctx.store.list(what.kind)
             what.take(listing, True)
@@ -67,16 +68,20 @@
             listing = await self._ctx.store.watch(what.kind, self._revision, what.wait_s)
             if listing.events:
                 what.take(listing, False)
+            else:
+                quiet_s = what.wait_s
         self._revision = listing.revision
+        return quiet_s
 
-    def _note_answer(self, sent_at: float) -> None:
+    def _note_answer(self, sent_at: float, quiet_s: float) -> None:
         if self._lost:
             self._lost = False
             self._ctx.log.write("store_regained", kind=self._what.kind)
         self._pause_s = FIRST_PAUSE_S
         self._ctx.engines.note_store_back(asyncio.get_running_loop().time())
         if self._what.confirmed is not None:
-            self._what.confirmed(sent_at)
+            elapsed_s = freshness.suspended_clock() - sent_at
+            self._what.confirmed(sent_at, min(quiet_s, elapsed_s))
 
     async def _note_lost(self, exc: Exception) -> None:
         if not self._lost:
--- a/berylrock/ops/freshness.py
+++ b/berylrock/ops/freshness.py
@@ -4,6 +4,9 @@
 
 __all__ = ["Freshness", "suspended_clock"]
 
+# Before the store drops its history, watches hear nothing for this long.
+DEAF_S = 1.0
+
 
 def suspended_clock() -> float:
     """Seconds on a clock that goes on while the VM is suspended."""
@@ -14,14 +17,21 @@
     """When the store last confirmed what this process knows of one kind of object.
 
     A call confirms the state as of the moment at which it was sent: the answer may have been under
-    way for any part of the time until it came.
+    way for any part of the time until it came. A watch that waited its full time and saw nothing
+    confirms the end of that time, less the time for which watches may miss changes.
     """
 
     def __init__(self) -> None:
         self._confirmed_at: float | None = None
 
-    def note(self, sent_at: float) -> None:
-        """Take that a call sent at this time, by ``suspended_clock``, was answered."""
+    def note(self, sent_at: float, quiet_s: float = 0.0) -> None:
+        """Take that a call was answered.
+
+        Args:
+          sent_at: When it was sent, by ``suspended_clock``.
+          quiet_s: For how long it waited at the store and saw no change.
+        """
+        sent_at += max(0.0, quiet_s - DEAF_S)
         if self._confirmed_at is None or sent_at > self._confirmed_at:
             self._confirmed_at = sent_at
 
--- a/berylrock/ops/norms.py
+++ b/berylrock/ops/norms.py
@@ -9,7 +9,7 @@
 
 LEARNING_SHARE = 0.1
 LEAST_SAMPLES = 8
-SLOW_RATIO = 3.0
+SLOW_RATIO = 4.0
 LEAST_FIRST_S = 0.25
 LEAST_PER_EVENT_S = 0.03
 
@@ -28,26 +28,26 @@
 
 
 class Norms:
-    """Usual times by service and model."""
+    """Usual times by route and model."""
 
     def __init__(self) -> None:
         self._norms: dict[tuple[str, str], _Norm] = {}
 
-    def note(self, service: str, model: str, timing: Timing) -> None:
+    def note(self, route: str, model: str, timing: Timing) -> None:
         """Take the times of an answer of the serving version."""
-        old = self._norms.get((service, model))
+        old = self._norms.get((route, model))
         if old is None:
-            self._norms[(service, model)] = _Norm(1, timing.first_s, timing.per_event_s)
+            self._norms[(route, model)] = _Norm(1, timing.first_s, timing.per_event_s)
             return
         first = old.first_s + LEARNING_SHARE * (timing.first_s - old.first_s)
         per_event = old.per_event_s
         if timing.per_event_s > 0.0:
             per_event += LEARNING_SHARE * (timing.per_event_s - per_event)
-        self._norms[(service, model)] = _Norm(old.samples + 1, first, per_event)
+        self._norms[(route, model)] = _Norm(old.samples + 1, first, per_event)
 
-    def is_slow(self, service: str, model: str, timing: Timing) -> bool:
+    def is_slow(self, route: str, model: str, timing: Timing) -> bool:
         """Tell whether an answer took several times as long as usual."""
-        norm = self._norms.get((service, model))
+        norm = self._norms.get((route, model))
         if norm is None or norm.samples < LEAST_SAMPLES:
             return False
         if timing.first_s > max(LEAST_FIRST_S, SLOW_RATIO * norm.first_s):
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -79,12 +79,13 @@
         item
         for item in states
         if item.engine.id not in pick.tried
-        and item.health.usable(pick.now)
         and item.pace.allows(
             pacing.limit_for(pick.limit_per_s, item.cold_until > pick.now), pick.now
         )
         and item.running < pick.max_running
     ]
+    # If every engine has failed of late, one that failed is better than none.
+    able = [item for item in able if item.health.usable(pick.now)] or able
     if not able:
         return None
     favourite = ""
--- a/berylrock/ops/staging.py
+++ b/berylrock/ops/staging.py
@@ -34,16 +34,30 @@
 LAST_STAGE_S = 5.0
 HASH_RANGE = 2.0**64
 
-LEAST_BAD = 4
-BAD_SHARE = 0.12
-BAD_RATIO = 2.5
+LEAST_ERRORS = 5
+ERROR_SHARE = 0.06
+# A failing engine or link costs every version some errors; a bad version has several times as many.
+ERROR_RATIO = 3.0
+ERROR_ALLOWANCE = 0.01
+LEAST_SLOW = 6
+SLOW_SHARE = 0.3
 
 
 class Evidence(NamedTuple):
-    """Results of one version of a service: answers in all, and bad ones."""
+    """Results of one version of a service: answers in all, failed ones, and slow ones."""
 
     answers: int = 0
-    bad: int = 0
+    errors: int = 0
+    slow: int = 0
+
+    def plus(self, other: "Evidence") -> "Evidence":
+        """Both together."""
+        return Evidence(
+            self.answers + other.answers, self.errors + other.errors, self.slow + other.slow
+        )
+
+    def __str__(self) -> str:
+        return f"{self.errors}+{self.slow}/{self.answers}"
 
 
 class Plan(NamedTuple):
@@ -154,11 +168,12 @@
 
 def looks_bad(trial: Evidence, stable: Evidence) -> bool:
     """Tell whether a version on trial fails so much more than the stable one that it goes back."""
-    if trial.bad < LEAST_BAD:
-        return False
-    share = trial.bad / max(1, trial.answers)
-    usual = stable.bad / stable.answers if stable.answers else 0.0
-    return share >= BAD_SHARE and share >= BAD_RATIO * usual
+    answers = max(1, trial.answers)
+    usual = stable.errors / stable.answers if stable.answers else 0.0
+    failing = trial.errors / answers >= max(ERROR_SHARE, ERROR_RATIO * (usual + ERROR_ALLOWANCE))
+    if trial.errors >= LEAST_ERRORS and failing:
+        return True
+    return trial.slow >= LEAST_SLOW and trial.slow / answers >= SLOW_SHARE
 
 
 def decide(
@@ -179,7 +194,7 @@
     if rollout.state in ("completed", "reverted"):
         return None
     if looks_bad(trial, stable):
-        return Verdict("reverted", rollout.stage, f"bad={trial.bad}/{trial.answers}")
+        return Verdict("reverted", rollout.stage, f"errors+slow/answers={trial}")
     if rollout.state == "new":
         return Verdict("running", 0, "taken up")
     if rollout.stage == 0:
--- a/berylrock/ops/steps.py
+++ b/berylrock/ops/steps.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Step", "accepts", "first_step", "next_step"]
 
-TRUSTED_CONFIDENCE = 80
+TRUSTED_CONFIDENCE = 58
 # A step up is made only while this share of the time until the objective is left.
 LEAST_TIME_LEFT = 0.35
 
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -301,7 +301,7 @@
 
 class _Peer(msgspec.Struct):
     beat: int
-    evidence: dict[str, tuple[int, int]] = {}
+    evidence: dict[str, tuple[int, int, int]] = {}
     suspects: dict[str, tuple[str, ...]] = {}
 
 
