Test the gateway between stand-ins of the platform; bound the head; wait for slow readers

A head over the limit that arrived at once was not refused. Change: callers may take nothing for 15 s; expiry, a silent engine and a lost caller are errors of their own; heads are measured. 46 scenarios run a real gateway between a stand-in store and engines.

--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -16,7 +16,10 @@
 READ_BYTES = 16_384
 WRITE_BUFFER_BYTES = 65_536
 MAX_EVENT_BYTES = 65_536
-USER_TIMEOUT_MS = 2500
+# The kernel ends a connection on which nothing sent was taken for this long. Callers may read
+# slowly, and engines may read a long body late.
+CALLER_TIMEOUT_MS = 15_000
+ENGINE_TIMEOUT_MS = 6000
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -33,14 +36,14 @@
     """The peer closed or reset the connection, or sent what is no answer."""
 
 
-def set_socket_options(sock: socket.socket) -> None:
+def set_socket_options(sock: socket.socket, timeout_ms: int) -> None:
     """Let the kernel end a connection whose peer is silent, also in the middle of a write."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 class Reader:
@@ -113,7 +116,7 @@
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         sock = writer.get_extra_info("socket")
         if sock is not None:
-            set_socket_options(sock)
+            set_socket_options(sock, CALLER_TIMEOUT_MS)
 
     @property
     def reusable(self) -> bool:
@@ -201,7 +204,7 @@
         self.idle_since = asyncio.get_running_loop().time()
         self.keep_s: float | None = None
         self.answers = 0
-        set_socket_options(writer.get_extra_info("socket"))
+        set_socket_options(writer.get_extra_info("socket"), ENGINE_TIMEOUT_MS)
 
     @classmethod
     async def open(cls, address: tuple[str, int], timeout_s: float) -> "EngineLink":
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -7,12 +7,12 @@
 import h11
 
 from berylrock.adapters import http1
-from berylrock.core import routing
+from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context, pool
 from berylrock.ops import budget, engineset, pacing, patience, selection, staging
 from berylrock.platform import translating
 
-__all__ = ["SILENT", "Attempt", "Failure", "Opened", "Sender"]
+__all__ = ["SILENT", "Attempt", "Expired", "Failure", "LeftBehind", "Opened", "Sender"]
 
 MAX_RUNNING_SHARE = 2.0
 LEAST_RUNNING = 4
@@ -21,6 +21,14 @@
 SILENT = "silent"
 
 
+class Expired(errors.BerylrockError):
+    """The request's time is over; its caller gets the answer to that."""
+
+
+class LeftBehind(errors.BerylrockError):
+    """The engine said nothing for so long that another one is asked."""
+
+
 class Failure(NamedTuple):
     """An attempt that gave no answer to pass on.
 
@@ -72,7 +80,8 @@
           The part.
 
         Raises:
-          TimeoutError: The engine is given up, or the request's time is over.
+          Expired: The request's time is over.
+          LeftBehind: The engine is given up.
           AnswerBroken: The answer ended early, or is none.
         """
         assert self.link is not None
@@ -87,11 +96,13 @@
                     event = await self.link.next_event()
             except TimeoutError:
                 now = loop.time()
-                if wait is None or now >= self._req.expires_at:
-                    raise
+                if now >= self._req.expires_at:
+                    raise Expired("the request's time is over") from None
+                if wait is None:
+                    continue
                 dead = patience.is_dead(now, since, self.state.heard_at, wait)
                 if dead and self._can_leave():
-                    raise
+                    raise LeftBehind("the engine was silent") from None
                 continue
             self.state.heard_at = loop.time()
             return event
@@ -127,7 +138,7 @@
         try:
             await self.link.send(req.head.method, req.head.target, headers, req.body)
             event = await self.next_event(wait)
-        except TimeoutError:
+        except (Expired, LeftBehind):
             return self._fail(SILENT)
         except http1.AnswerBroken as exc:
             return self._fail(f"broken: {exc}")
--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -117,6 +117,8 @@
         if not isinstance(event, h11.Request):
             return False
         raw = list(event.headers.raw_items())
+        if sum(len(name) + len(value) for name, value in raw) > limits.header_bytes:
+            return await self._reject(link, 431, "head is too large")
         names = [name.lower() for name, _ in raw]
         if b"transfer-encoding" in names and b"content-length" in names:
             return await self._reject(link, 400, "both lengths")
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -129,7 +129,7 @@
                     body += event.data
                 if len(body) > MAX_ANSWER_BYTES:
                     raise http1.AnswerBroken("too large")
-        except (TimeoutError, http1.AnswerBroken) as exc:
+        except (attempt.Expired, http1.AnswerBroken) as exc:
             self.sender.last_reason = f"broke off: {exc}"
             self.note_result(opened, False, started_s)
             opened.attempt.end()
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -103,8 +103,8 @@
         splitter = events.EventSplitter()
         try:
             whole = await self._pass_events(opened, splitter)
-        except (TimeoutError, http1.AnswerBroken) as exc:
-            self.sender.last_reason = f"stream broke: {type(exc).__name__} {exc}"
+        except (attempt.Expired, attempt.LeftBehind, http1.AnswerBroken) as exc:
+            self.sender.last_reason = f"stream broke: {exc}"
             whole = False
         except BaseException:
             opened.attempt.end()
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,520 @@
+"""Steps that run a gateway process between stand-ins of the platform."""
+
+import asyncio
+import signal
+import time
+
+from behave import given, then, when
+from support.platform import fleet
+
+SYSTEM_HEADERS = [
+    ("X-Berylrock-Cache-Retain", "theirs"),
+    ("X-Berylrock-Pin-Ms", "4000"),
+    ("X-Berylrock-Kv-Replica", "127.0.0.1:9"),
+    ("Kv-From", "127.0.0.1:9/x"),
+    ("Kv-Fetch", "127.0.0.1:9"),
+    ("X-Berylrock-Request-Priority", "0"),
+    ("X-Berylrock-Expected-Version", "7"),
+    ("X-Berylrock-Tenant", "theirs"),
+    ("X-Berylrock-Target-Instance", "theirs"),
+]
+BAD_REQUESTS = {
+    "both lengths": b"POST /read/a HTTP/1.1\r\nHost: calls.example\r\nContent-Length: 3\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a bad length": b"POST /read/a HTTP/1.1\r\nHost: calls.example\r\n"
+    b"Content-Length: 3x\r\n\r\nabc",
+    "a bad chunk size": b"POST /read/a HTTP/1.1\r\nHost: calls.example\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+    "a space before the colon": b"GET /read/a HTTP/1.1\r\nHost : calls.example\r\n\r\n",
+    "a head that is too large": b"GET /read/a HTTP/1.1\r\nHost: calls.example\r\nX: "
+    + b"a" * 40_000
+    + b"\r\n\r\n",
+    "a body that is too large": b"POST /read/a HTTP/1.1\r\nHost: calls.example\r\n"
+    b"Content-Length: 200000\r\n\r\n" + b"a" * 200_000,
+}
+
+
+def start(context, **options):
+    """Start a fleet in the scenario's folder, in place of an earlier one."""
+    if getattr(context, "gateway", None) is not None:
+        context.gateway.stop()
+    context.gateway = fleet.GatewayFleet(context.root, **options)
+    context.cleanups.append(context.gateway.stop)
+    context.gateway.start()
+
+
+def plain(context):
+    """The plain engines."""
+    return [item for name, item in context.gateway.engines.items() if name.startswith("plain")]
+
+
+def models(context):
+    """The model engines."""
+    return [item for name, item in context.gateway.engines.items() if name.startswith("models")]
+
+
+@given("a gateway between stand-ins")
+def step_start(context):
+    """Start with the usual settings."""
+    start(context)
+
+
+@given("a gateway that must stop withdrawn keys within {seconds:g} s")
+def step_start_revoke(context, seconds):
+    """Start with a short bound on withdrawn keys."""
+    start(context, revoke_ms=int(seconds * 1000))
+
+
+@given('the next plain answer is "{fault}"')
+def step_next_fault(context, fault):
+    """Whichever engine is asked first answers with a fault; only that one."""
+    shared = [fault]
+    for item in plain(context):
+        item.faults = shared
+
+
+@given('the first chat is answered with "{fault}"')
+def step_first_chat(context, fault):
+    """Whichever engine is asked first answers with a fault."""
+    shared = [fault]
+    for item in models(context):
+        item.faults = shared
+
+
+@given('every chat is answered with "{fault}"')
+def step_every_chat(context, fault):
+    """Engines answer with a fault again and again."""
+    for item in models(context):
+        item.faults = [fault] * 10
+
+
+@given("the small model's confidence is {value:d}")
+def step_confidence(context, value):
+    """Set what the small model thinks of its answers."""
+    for item in models(context):
+        item.confidence = {"small": value}
+
+
+@given("each read takes {seconds:g} s")
+def step_work(context, seconds):
+    """Make plain calls slow."""
+    for item in plain(context):
+        item.work_s = seconds
+
+
+@given('the engine "{name}" is in zone "{zone}"')
+def step_zone(context, name, zone):
+    """Register an engine in a zone."""
+    context.gateway.add_engine(name, name.partition("-")[0], zone=zone)
+    time.sleep(0.2)
+
+
+@given("the store loses the answers to writes")
+def step_lossy(context):
+    """Writes are done and not answered."""
+    context.gateway.thread.run(context.gateway.store.set_mode("lossy"))
+
+
+@when("a read, an order and a chat are sent")
+def step_all_kinds(context):
+    """Send one of each."""
+    gateway = context.gateway
+    context.results = [
+        gateway.send("POST", "/read/a?b=c", body=b"\x00read"),
+        gateway.send("POST", "/order/a", body=b"order"),
+        gateway.chat(),
+    ]
+
+
+@then("each is answered whole by an engine")
+def step_whole(context):
+    """All got signed, whole answers."""
+    for answer in context.results:
+        assert answer.status == 200 and answer.whole, answer
+        assert answer.headers["x-berylrock-response-signature"].startswith("sig-")
+
+
+@then("each reached an engine with its method, path, body and id")
+def step_unchanged(context):
+    """Nothing was changed on the way."""
+    runs = context.gateway.runs("plain") + context.gateway.runs("models")
+    found = {(run.method, run.target, run.body) for run in runs}
+    assert ("POST", "/read/a?b=c", b"\x00read") in found, found
+    assert ("POST", "/order/a", b"order") in found
+    assert ("POST", "/chat/a", b"prompt") in found
+    ids = {run.headers["x-berylrock-attempt-id"] for run in runs}
+    assert {answer.headers["x-berylrock-attempt-id"] for answer in context.results} == ids
+
+
+@when("a chat is sent with every header that only the system may set")
+def step_system_headers(context):
+    """Send what a caller may not set."""
+    context.result = context.gateway.chat(headers=SYSTEM_HEADERS)
+
+
+@then("the engine got the system's own values and none of the caller's")
+def step_own_values(context):
+    """Only the system's own values arrived."""
+    run = context.gateway.runs("models")[0]
+    assert run.headers["x-berylrock-tenant"] == "one"
+    assert run.headers["x-berylrock-target-instance"].startswith("models-")
+    assert 0 < int(run.headers["x-berylrock-deadline-ms"]) <= 3000
+    left = {name.lower() for name, _ in SYSTEM_HEADERS} & set(run.headers)
+    assert left == {"x-berylrock-tenant", "x-berylrock-target-instance"}, left
+    assert "x-api-key" not in run.headers
+
+
+@when('a request is sent with key "{key}"')
+def step_key(context, key):
+    """Send with another key."""
+    context.result = context.gateway.send(key=key)
+
+
+@when('a request is sent to "{path}"')
+def step_path(context, path):
+    """Send to another path."""
+    context.result = context.gateway.send(path=path)
+
+
+@when("a read is sent")
+def step_read(context):
+    """Send a read."""
+    context.result = context.gateway.send()
+
+
+@when("an order is sent")
+def step_order(context):
+    """Send an order."""
+    context.result = context.gateway.send("POST", "/order/a", body=b"order")
+
+
+@when("a chat is sent")
+def step_chat(context):
+    """Send a chat."""
+    context.result = context.gateway.chat()
+
+
+@when("{count:d} reads are sent one after the other")
+def step_reads(context, count):
+    """Send reads with paths of their own, on one connection each."""
+    gateway = context.gateway
+    time.sleep(0.3)
+    context.results = [(n, gateway.send(path=f"/read/{n}")) for n in range(count)]
+
+
+@when("{count:d} chats are sent one after the other")
+def step_chats(context, count):
+    """Send chats."""
+    context.results = [context.gateway.chat() for _ in range(count)]
+
+
+@then("it is answered {status:d} whole")
+def step_status_whole(context, status):
+    """The answer has a status and is whole."""
+    assert context.result.status == status and context.result.whole, context.result
+
+
+@then("it is answered {status:d}")
+def step_status(context, status):
+    """The answer has a status."""
+    assert context.result.status == status, (context.result, context.gateway.log()[-2000:])
+
+
+@then("no engine ran anything")
+def step_no_run(context):
+    """No request reached a run."""
+    assert not context.gateway.runs("plain") + context.gateway.runs("models")
+
+
+@then("the plain engines ran {count:d} requests")
+def step_runs(context, count):
+    """Count runs."""
+    assert len(context.gateway.runs("plain")) == count, len(context.gateway.runs("plain"))
+
+
+@then("each read got the answer to its own request")
+def step_own_answers(context):
+    """Each answer names the path that was asked."""
+    for number, answer in context.results:
+        assert answer.status == 200 and answer.whole, (answer, context.gateway.log()[-2000:])
+        assert answer.body.decode().endswith(f" GET /read/{number}"), answer
+
+
+@then("each chat is whole")
+def step_chats_whole(context):
+    """Every stream is whole."""
+    for answer in context.results:
+        assert answer.whole and answer.event_ids == [1, 2, 3, 4, 5, 6], answer
+
+
+@then("the stream is whole, with each event once")
+def step_stream(context):
+    """No event is missing or doubled."""
+    answer = context.result
+    assert answer.status == 200 and answer.whole, (answer, context.gateway.log()[-2000:])
+    assert answer.event_ids == [1, 2, 3, 4, 5, 6], answer.event_ids
+
+
+@then("the stream is not whole")
+def step_stream_broken(context):
+    """The break is visible."""
+    assert not context.result.whole
+    ids = context.result.event_ids
+    assert ids == sorted(set(ids))
+
+
+@then("the stream is the {model} model's")
+def step_model(context, model):
+    """All events are of one model."""
+    assert f"data: {model} 1".encode() in context.result.body, context.result.body
+
+
+@when("the operator withdraws the key")
+def step_withdraw(context):
+    """Write a configuration with another key."""
+    context.gateway.put("config", "main", fleet.config(2, keys=("key-two",)))
+
+
+@then("within {seconds:g} s the key is answered {status:d}")
+def step_key_refused(context, seconds, status):
+    """Ask until it is so; the bound is the operators'."""
+    begun = time.monotonic()
+    context.gateway.wait(lambda: context.gateway.send().status == status, "key refused")
+    assert time.monotonic() - begun < seconds
+
+
+@when("the store becomes {mode}")
+def step_mode(context, mode):
+    """Change the store's mode."""
+    context.gateway.thread.run(context.gateway.store.set_mode(mode))
+
+
+@when("the store is up again")
+def step_up(context):
+    """Let the store answer again."""
+    context.gateway.thread.run(context.gateway.store.set_mode("up"))
+
+
+@then("within {seconds:g} s requests are answered {status:d}")
+def step_within(context, seconds, status):
+    """Ask until it is so."""
+    begun = time.monotonic()
+    context.gateway.wait(lambda: context.gateway.send().status == status, f"status {status}")
+    assert time.monotonic() - begun < seconds + 1.0, time.monotonic() - begun
+
+
+@then("no engine runs anything after that")
+def step_no_more_runs(context):
+    """Requests after the stop do not run."""
+    before = len(context.gateway.runs("plain"))
+    assert [context.gateway.send().status for _ in range(5)] == [503] * 5
+    assert len(context.gateway.runs("plain")) == before
+
+
+@when("the store is down for {seconds:g} s")
+def step_down(context, seconds):
+    """Send while the store resets all calls."""
+    gateway = context.gateway
+    gateway.thread.run(gateway.store.set_mode("down"))
+    until = time.monotonic() + seconds
+    context.results = []
+    while time.monotonic() < until:
+        context.results.append(gateway.send())
+    gateway.thread.run(gateway.store.set_mode("up"))
+
+
+@then("all requests sent meanwhile are answered {status:d}")
+def step_all_status(context, status):
+    """All got the status."""
+    assert context.results and {answer.status for answer in context.results} == {status}
+
+
+@when('the engine "{name}" says that it is draining')
+def step_draining(context, name):
+    """Register an engine as draining."""
+    context.gateway.add_engine(name, name.partition("-")[0], state="draining")
+
+
+@then('the engine "{name}" ran nothing')
+def step_engine_idle(context, name):
+    """An engine got no request."""
+    assert not context.gateway.engines[name].runs
+
+
+@when('the engine "{name}" is replaced by another one at its address')
+def step_replaced(context, name):
+    """The process at an address has another id before its old entry is gone."""
+    context.gateway.engines[name].id = "someone-else"
+
+
+@when('the operator takes the zone "{zone}" out')
+def step_evacuate(context, zone):
+    """Write an evacuation."""
+    context.gateway.put("evacuations", zone, {})
+
+
+@when('the operator orders version "{version}" of "{service}" and its engines start')
+def step_rollout(context, version, service):
+    """Order a roll-out."""
+    order = {"backend": service, "target": version, "duration-s": 2}
+    context.gateway.put("rollouts", service, order)
+    for number in range(2):
+        context.gateway.add_engine(f"{service}-{version}-{number}", service, version=version)
+
+
+@when("entries that cannot be read are written to the store")
+def step_unreadable(context):
+    """Write what no engine wrote."""
+    gateway = context.gateway
+    entry = {"backend": "plain", "address": "127.0.0.1:1", "zone": "z", "version": "v1"}
+    gateway.put("servers", "bad-1", "not an entry")
+    gateway.put("servers", "bad-2", entry | {"state": 7})
+    gateway.put("servers", "bad-3", entry | {"state": "resting"})
+    gateway.put("servers", "bad-4", entry | {"address": 5, "state": "ready"})
+    gateway.put("rollouts", "plain", ["what"])
+    gateway.put("config", "main", "no configuration")
+    gateway.put("gateways", "bad", {"beat": "x"})
+
+
+@when("the store forgets its history and an engine leaves meanwhile")
+def step_forget(context):
+    """A change is lost between two watches."""
+    gateway = context.gateway
+
+    async def forget():
+        async with gateway.store._changed:
+            gateway.store.revision += 1
+            gateway.store.objects.pop(("servers", "plain-0"))
+        await gateway.store.forget()
+
+    gateway.thread.run(forget())
+
+
+@when("a chat's caller leaves after the first event")
+def step_leave(context):
+    """Read a little of a stream and reset the connection."""
+    gateway = context.gateway
+    for item in models(context):
+        item.events, item.event_s = 1000, 0.01
+
+    async def leave():
+        reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
+        writer.write(
+            b"POST /chat/a HTTP/1.1\r\nHost: calls.example\r\nX-Api-Key: key-one\r\n"
+            b"X-Berylrock-Attempt-Id: 1111111111111111\r\nX-Berylrock-Model: *\r\n"
+            b"X-Berylrock-Token-Usage: 10,10\r\nContent-Length: 0\r\n\r\n"
+        )
+        await reader.readuntil(b"id: 1")
+        writer.transport.abort()
+
+    gateway.thread.run(leave())
+
+
+@then("within {seconds:g} s the engine's run has been stopped")
+def step_stopped(context, seconds):
+    """The engine saw its connection close."""
+    begun = time.monotonic()
+    context.gateway.wait(
+        lambda: all(run.cancelled for run in context.gateway.runs("models")), "stop"
+    )
+    assert time.monotonic() - begun < seconds
+
+
+@when("SIGTERM comes while reads are running")
+def step_term(context):
+    """Stop the gateway in the middle of its work."""
+    gateway = context.gateway
+
+    async def send_all():
+        return await asyncio.gather(*(gateway.send_later(path=f"/read/{n}") for n in range(6)))
+
+    fut = asyncio.run_coroutine_threadsafe(send_all(), gateway.thread.loop)
+    gateway.wait(lambda: len(gateway.runs("plain")) >= 4, "reads are running")
+    gateway.signal(signal.SIGTERM)
+    gateway.wait(lambda: gateway.ready() == 503, "not ready")
+    context.results = fut.result(10)
+
+
+@then("all of them are answered {status:d}")
+def step_all_answered(context, status):
+    """No answer was cut."""
+    assert {(answer.status, answer.whole) for answer in context.results} == {(status, True)}
+
+
+@then("the gateway says at once that it is not ready")
+def step_not_ready(context):
+    """It stays out of rotation."""
+    assert context.gateway.ready() in (0, 503)
+
+
+@then("it ends by itself within the grace time")
+def step_ends(context):
+    """The process ends with success."""
+    assert context.gateway.process.wait(5) == 0
+
+
+@when('the gateway is sent "{what}"')
+def step_bad_bytes(context, what):
+    """Send bytes that are no proper request."""
+    gateway = context.gateway
+
+    async def send():
+        reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
+        writer.write(BAD_REQUESTS[what])
+        try:
+            return await asyncio.wait_for(reader.read(), 10)
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.transport.abort()
+
+    context.result = gateway.thread.run(send())
+
+
+@then("the connection gets status {status:d} and is closed")
+def step_bad_status(context, status):
+    """The refusal came, or the connection was reset while the body was still under way."""
+    if status == 413 and not context.result:
+        return
+    assert context.result.startswith(f"HTTP/1.1 {status} ".encode()), context.result
+
+
+@when("a read is sent whose body holds another request")
+def step_smuggle(context):
+    """Send a body that looks like a request."""
+    context.inner = b"POST /order/a HTTP/1.1\r\nHost: calls.example\r\n\r\n"
+    context.result = context.gateway.send("POST", "/read/a", body=context.inner)
+
+
+@then("that run had the whole body")
+def step_inner(context):
+    """The body arrived as a body."""
+    assert context.gateway.runs("plain")[0].body == context.inner
+
+
+@when("the settings change without a signal")
+def step_settings(context):
+    """Write another bound."""
+    path = context.root / "boot.toml"
+    path.write_text(path.read_text().replace("retry-extra = 50", "retry-extra = 5000"))
+
+
+@then("the gateway reads them again")
+def step_reloaded(context):
+    """The log says so."""
+    context.gateway.wait(lambda: "event=reloaded changed=True" in context.gateway.log(), "reload")
+
+
+@when("the settings become faulty and SIGHUP comes")
+def step_faulty(context):
+    """Take the store's address away."""
+    path = context.root / "boot.toml"
+    path.write_text(path.read_text().replace("[platform]", "[plattform]"))
+    context.gateway.signal(signal.SIGHUP)
+
+
+@then("the gateway names the fault and goes on")
+def step_goes_on(context):
+    """The fault is in the log and requests are served."""
+    context.gateway.wait(lambda: "platform.address: missing" in context.gateway.log(), "fault")
+    assert context.gateway.send().status == 200
