--- a/berylrock/core/boundedlog.py
+++ b/berylrock/core/boundedlog.py
@@ -35,6 +35,8 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line, or count it as dropped."""
+        if self._pending:
+            self._write(b"")
         if not self._allowed() or len(self._pending) > PENDING_BYTES:
             self.dropped += 1
             return
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -91,7 +91,8 @@
     favourite = ""
     if pick.key:
         favourite = max(able, key=lambda item: _rank(pick.key, item.engine.id)).engine.id
-    typical = sorted(item.health.first_answer_s for item in able)[len(able) // 2]
+    # Half of the engines may be slow, so what is usual is read off the quick ones.
+    typical = sorted(item.health.first_answer_s for item in able)[len(able) // 4]
 
     def cost(item: engineset.EngineState) -> float:
         work = item.work + item.running * SMALL_WORK
