Step up to a larger model only where it would answer in time

Ruled out: batch slots: at most a third of them were in use. Change: times to the first event and between events are learned by engine and model; a step up that would miss the objective or most of the time left is not made, the small model's answer goes out.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -9,6 +9,7 @@
     freshness,
     norms,
     routetable,
+    speeds,
     staging,
     strikes,
 )
@@ -42,6 +43,7 @@
       strikes: Requests that were held when an engine fell.
       budgets: Retry budgets by service.
       norms: Usual times of answers.
+      speeds: Recent times by engine and model.
       stopping: The process was told to stop.
     """
 
@@ -71,6 +73,7 @@
         self.strikes = strikes.StrikeTable()
         self.budgets: dict[str, budget.WindowBudget] = {}
         self.norms = norms.Norms()
+        self.speeds = speeds.Speeds()
         self.stopping = False
         self.idle_limit_s = 0.0
 
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -68,6 +68,7 @@
         self._ctx.sessions.expire(loop.time(), ttl_s)
         for change in self._ctx.engines.expire(loop.time()):
             self._ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
+        self._ctx.speeds.forget(self._ctx.engines.ids())
         self._picture.expire_peers(loop.time())
 
     def _render_ready(self, _: str) -> pages.Page:
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -4,7 +4,7 @@
 
 from berylrock.adapters import http1
 from berylrock.daemons.gateway import attempt, forwarding
-from berylrock.ops import events, norms, patience, steps
+from berylrock.ops import events, norms, patience, speeds, steps
 
 __all__ = ["StreamForwarding"]
 
@@ -74,8 +74,10 @@
         return opened.head.status < 300 and any(b"event-stream" in kind for kind in kinds)
 
     def _trusted(self, opened: attempt.Opened) -> bool:
-        larger = steps.next_step(self.req.route)
-        if not self.sender.can_move(larger.model, STEP_UP_RESERVE):
+        if self._step.last:
+            return True
+        larger = steps.next_step(self.req.route).model
+        if not self.sender.can_move(larger, STEP_UP_RESERVE) or not self._fits(larger):
             return True
         return steps.accepts(
             self._step,
@@ -85,6 +87,20 @@
             self.sender.runs_left,
         )
 
+    def _fits(self, model: str) -> bool:
+        """Tell whether a larger model would answer in time, by what its engine does now."""
+        state = self.sender.choose(model)
+        if state is None:
+            return False
+        ctx, now = self.ctx, self.now
+        return speeds.fits(
+            ctx.speeds.predict(state.engine.id, model, now),
+            ctx.speeds.expected_events(self.req.route.name),
+            now - self.req.received_at,
+            self.req.route.objective_s,
+            self.req.expires_at - now,
+        )
+
     def _step_up(self, opened: attempt.Opened) -> None:
         """Drop an answer that its model is unsure of, and ask the largest model."""
         opened.attempt.end()
@@ -136,9 +152,7 @@
         if self._sequence.has_gap(piece):
             raise http1.AnswerBroken(f"events missing before {piece.id}")
         now = self.now
-        self._first_event_at = self._first_event_at or now
-        self._last_event_at = now
-        self._count += 1
+        self._time_event(opened.attempt, now)
         if not self._sequence.accepts(piece):
             return
         if not self.out.begun:
@@ -146,6 +160,17 @@
             self.ctx.times.note("first_event", now - self.req.received_at)
         await self.out.send_piece(piece.data)
 
+    def _time_event(self, run: attempt.Attempt, now: float) -> None:
+        """Learn from when an event came."""
+        engine_id, model = run.state.engine.id, run.model
+        if self._count == 0:
+            self._first_event_at = now
+            self.ctx.speeds.note_first(engine_id, model, now - run.sent_at, now)
+        else:
+            self.ctx.speeds.note_gap(engine_id, model, now - self._last_event_at, now)
+        self._last_event_at = now
+        self._count += 1
+
     def _timing(self, opened: attempt.Opened) -> norms.Timing:
         first_s = (self._first_event_at or self.now) - opened.attempt.sent_at
         per_event_s = 0.0
@@ -164,6 +189,7 @@
         if whole and not on_trial:
             self.ctx.norms.note(self.req.route.name, model, timing)
         if whole:
+            self.ctx.speeds.note_events(self.req.route.name, self._count)
             state.health.note_answer(timing.first_s)
             self.ctx.note_result(self.req.service, state.engine.version, False, slow)
             opened.attempt.end_whole(opened.head)
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -151,6 +151,10 @@
         """Find an engine by its id."""
         return self._states.get(engine_id)
 
+    def ids(self) -> set[str]:
+        """The ids of all engines."""
+        return set(self._states)
+
     def of_service(self, service: str) -> list[EngineState]:
         """All engines of a service."""
         return [item for item in self._states.values() if item.engine.service == service]
