--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -9,7 +9,7 @@
 
 __all__ = ["RolloutControl", "SelfRecord"]
 
-HEARTBEAT_S = 5.0
+HEARTBEAT_S = 8.0
 EVIDENCE_S = 0.6
 # Gateways act one after the other, so that mostly one writes.
 TURN_S = 0.35
--- a/berylrock/daemons/gateway/picture.py
+++ b/berylrock/daemons/gateway/picture.py
@@ -15,7 +15,8 @@
 CONFIG_WAIT_S = 1.2
 ENGINES_WAIT_S = 2.0
 ORDERS_WAIT_S = 3.5
-PEER_LIFE_S = 16.0
+GATHER_S = 0.25
+PEER_LIFE_S = 24.0
 
 
 class Picture:
@@ -28,11 +29,13 @@
         """What to watch."""
         return (
             watching.KindWatch(
-                names.CONFIG_KIND, CONFIG_WAIT_S, self._take_config, self._ctx.fresh.note
+                names.CONFIG_KIND, CONFIG_WAIT_S, GATHER_S, self._take_config, self._ctx.fresh.note
+            ),
+            watching.KindWatch(names.ENGINES_KIND, ENGINES_WAIT_S, GATHER_S, self._take_engines),
+            watching.KindWatch(names.ROLLOUTS_KIND, ORDERS_WAIT_S, GATHER_S, self._take_rollouts),
+            watching.KindWatch(
+                names.EVACUATIONS_KIND, ORDERS_WAIT_S, GATHER_S, self._take_evacuations
             ),
-            watching.KindWatch(names.ENGINES_KIND, ENGINES_WAIT_S, self._take_engines),
-            watching.KindWatch(names.ROLLOUTS_KIND, ORDERS_WAIT_S, self._take_rollouts),
-            watching.KindWatch(names.EVACUATIONS_KIND, ORDERS_WAIT_S, self._take_evacuations),
         )
 
     def _take_config(self, listing: decoding.Listing, whole: bool) -> None:
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -117,6 +117,7 @@
             now - self.req.received_at,
             self.req.route.objective_s,
             self.req.expires_at - now,
+            self.req.route.priority,
         )
 
     def _step_up(self, opened: attempt.Opened) -> None:
--- a/berylrock/daemons/gateway/watching.py
+++ b/berylrock/daemons/gateway/watching.py
@@ -21,6 +21,7 @@
     Attributes:
       kind: The kind.
       wait_s: Longest wait of one call; also how soon a silent connection is noticed.
+      gather_s: Pause after a change, so that one call brings those that follow it.
       take: Takes a whole list (True) or changes (False).
       confirmed: Takes when a call was sent that confirmed the picture, and for how long it waited
         without a change; None if nobody asks.
@@ -28,6 +29,7 @@
 
     kind: str
     wait_s: float
+    gather_s: float
     take: Callable[[decoding.Listing, bool], None]
     confirmed: Callable[[float, float], None] | None = None
 
@@ -68,6 +70,8 @@
             listing = await self._ctx.store.watch(what.kind, self._revision, what.wait_s)
             if listing.events:
                 what.take(listing, False)
+                # Changes mostly come in bursts; what follows soon is taken with the next call.
+                await asyncio.sleep(what.gather_s)
             else:
                 quiet_s = what.wait_s
         self._revision = listing.revision
--- a/berylrock/ops/speeds.py
+++ b/berylrock/ops/speeds.py
@@ -12,8 +12,11 @@
 LEARNING_SHARE = 0.15
 # What was learned long ago says little: it counts only so long.
 KEPT_S = 6.0
-FIRST_SHARE = 0.85
-WHOLE_SHARE = 0.6
+# Shares of the time that an answer of the most urgent rank may take; less urgent ones give way
+# earlier, so that engine time goes to what matters more.
+FIRST_SHARE, FIRST_SHARE_BY_RANK = 0.85, 0.12
+WHOLE_SHARE, WHOLE_SHARE_BY_RANK = 0.6, 0.12
+LAST_RANK = 3
 
 
 class _Speed:
@@ -70,7 +73,12 @@
 
 
 def fits(
-    timing: norms.Timing, events: float, elapsed_s: float, objective_s: float, left_s: float
+    timing: norms.Timing,
+    events: float,
+    elapsed_s: float,
+    objective_s: float,
+    left_s: float,
+    rank: int,
 ) -> bool:
     """Tell whether an answer would come in time.
 
@@ -80,10 +88,13 @@
       elapsed_s: Time since the request came.
       objective_s: Time within which its first event is on time.
       left_s: Time until its last event must have come.
+      rank: The route's rank; 0 is the most urgent.
 
     Returns:
       Whether both its first and its last event would be in time.
     """
-    if elapsed_s + timing.first_s > FIRST_SHARE * objective_s:
+    rank = min(LAST_RANK, max(0, rank))
+    if elapsed_s + timing.first_s > (FIRST_SHARE - FIRST_SHARE_BY_RANK * rank) * objective_s:
         return False
-    return timing.first_s + events * timing.per_event_s <= WHOLE_SHARE * left_s
+    whole_share = WHOLE_SHARE - WHOLE_SHARE_BY_RANK * rank
+    return timing.first_s + events * timing.per_event_s <= whole_share * left_s
