--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -9,7 +9,7 @@
 from berylrock.adapters import http1
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context, pool
-from berylrock.ops import budget, engineset, pacing, patience, selection, staging
+from berylrock.ops import budget, engineset, freshness, pacing, patience, selection, staging
 from berylrock.platform import translating
 
 __all__ = ["SILENT", "Attempt", "Expired", "Failure", "LeftBehind", "Opened", "Sender"]
@@ -340,6 +340,24 @@
             now = asyncio.get_running_loop().time()
             self._ctx.sessions.note(self._req.service, session, version, now)
 
+    def _log_sent(self, state: engineset.EngineState, model: str, last_event: int | None) -> None:
+        """Write which engine was chosen, and by what."""
+        ctx, now = self._ctx, asyncio.get_running_loop().time()
+        others = ctx.loads.others(state.engine.id, now)
+        ctx.meter.count("sends")
+        ctx.log.write(
+            "request_sent",
+            request=self._req.head.id,
+            engine=state.engine.id,
+            version=state.engine.version,
+            model=model,
+            after_event=last_event,
+            running=f"{state.running}+{others.running}",
+            failing=round(state.health.failing_share(), 2),
+            config=self._req.config_version,
+            config_age_s=round(ctx.fresh.age(freshness.suspended_clock()), 2),
+        )
+
     async def send(
         self,
         state: engineset.EngineState,
@@ -353,6 +371,7 @@
         attempt = Attempt(
             self._ctx, self._conns, self._req, state, model, lambda: self.can_move(model)
         )
+        self._log_sent(state, model, last_event)
         # Counted from the start: the request may run from its first byte on.
         self.runs += 1
         self.tried.add(state.engine.id)
--- a/berylrock/scripts/main.py
+++ b/berylrock/scripts/main.py
@@ -9,7 +9,7 @@
 
 __all__ = ["EXIT_FAILED", "EXIT_OK", "EXIT_REFUSED", "build_parser", "main"]
 
-MODULES = ("daemons", "configure", "inspect", "bench")
+MODULES = ("daemons", "configure", "inspect", "trace", "bench")
 DAEMON_COMMANDS = ("entry", "gateway", "sidecar", "standin")
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -196,3 +196,8 @@
     Then the gateway reads them again
     When the settings become faulty and SIGHUP comes
     Then the gateway names the fault and goes on
+
+  Scenario: A refused, a failed and a resumed request are explained from the log alone
+    Given the next plain answer is "reset"
+    When an order, a request with a wrong key and a chat that breaks off are sent
+    Then the log alone explains each of them
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -7,6 +7,8 @@
 from behave import given, then, when
 from support.platform import fleet
 
+from berylrock.ops import tracing
+
 SYSTEM_HEADERS = [
     ("X-Berylrock-Cache-Retain", "theirs"),
     ("X-Berylrock-Pin-Ms", "4000"),
@@ -549,3 +551,26 @@
     """Most are: an engine that is down for a moment may cost one."""
     good = [answer for _, answer in context.results if answer.status == 200]
     assert len(good) >= len(context.results) - 1, context.results
+
+
+@when("an order, a request with a wrong key and a chat that breaks off are sent")
+def step_three(context):
+    """Three ends; the ids are the fleet's first three."""
+    gateway = context.gateway
+    step_first_chat(context, "cut 3")
+    gateway.send("POST", "/order/a", body=b"order")
+    gateway.send(key="nobody")
+    gateway.chat()
+    gateway.wait(lambda: gateway.log().count("event=request_") >= 3, "three ends in the log")
+
+
+@then("the log alone explains each of them")
+def step_explained(context):
+    """Each explanation names what decided."""
+    lines = context.gateway.log().splitlines()
+    texts = [tracing.explain(tracing.trace(lines, f"{n:016x}")) for n in (1, 2, 3)]
+    assert "502" in texts[0] and "may have run" in texts[0], texts[0]
+    assert "Refused with 401: unknown_key" in texts[1], texts[1]
+    assert "200 stream" in texts[2] and "3 sends" not in texts[2], texts[2]
+    context_lines = tracing.trace(lines, f"{3:016x}").context
+    assert any(line.event == "config_in_force" for line in context_lines)
