Split the gateway's steps by what they prove

Change: routes and limits, versions, texts, requests and the store have a module each; what they share is in features/support. No step was changed.

--- /dev/null
+++ b/features/steps/gateway_version_steps.py
@@ -0,0 +1,178 @@
+"""Steps on roll-outs, cascades and patience: no process, no network."""
+
+import random
+
+from behave import given, then
+from support.gateway_data import make_engine, make_route
+
+from berylrock.core import routing
+from berylrock.ops import norms, patience, staging, steps
+
+
+def play_rollout(results, seconds=24.0, per_s=30.0):
+    """Play a roll-out; ``results(share, age, n)`` tells whether an answer fails or is slow."""
+    rollout = routing.Rollout("models", "v2", seconds, "running", 0, 1)
+    trial, usual, stage_at, number, bad = staging.Evidence(), staging.Evidence(), 0.0, 0, 0
+    rng = random.Random(5)
+    for step in range(int(seconds * 4)):
+        age = step / 4
+        share = staging.STAGE_SHARES[rollout.stage]
+        for _ in range(int(per_s / 4)):
+            number += 1
+            on_trial = rng.random() < share
+            failed, slow = results(on_trial, share, age, number)
+            result = staging.Evidence(1, failed, slow)
+            if on_trial:
+                trial, bad = trial.plus(result), bad + failed + slow
+            else:
+                usual = usual.plus(staging.Evidence(1, failed, 0))
+        verdict = staging.decide(rollout, trial, usual, age, age - stage_at)
+        if verdict is not None:
+            if verdict.stage != rollout.stage:
+                stage_at = age
+            rollout = rollout._replace(state=verdict.state, stage=verdict.stage)
+        if rollout.state in ("reverted", "completed"):
+            return rollout.state, bad, age
+    return rollout.state, bad, seconds
+
+
+BAD = {
+    "at once": lambda trial, share, age, n: (int(trial and n % 2 == 0), 0),
+    "by being slow": lambda trial, share, age, n: (0, int(trial and n % 2 == 0)),
+    "on one route": lambda trial, share, age, n: (int(trial and n % 9 == 0), 0),
+    "only under load": lambda trial, share, age, n: (int(trial and share > 0.3 and n % 2 == 0), 0),
+    "after a while": lambda trial, share, age, n: (int(trial and age > 14 and n % 2 == 0), 0),
+}
+
+
+@given("a roll-out whose new version is bad {how}")
+def step_bad(context, how):
+    """Play it."""
+    context.state, context.bad, context.age = play_rollout(BAD[how])
+
+
+@then("it is taken back before {most:d} of its bad answers were seen")
+def step_reverted(context, most):
+    """In time for the bound of 50."""
+    assert context.state == "reverted" and context.bad < most, (context.state, context.bad)
+
+
+@given("a roll-out whose new version is good while 1 in 20 answers of all versions fails")
+def step_good(context):
+    """Play it beside failing engines."""
+    context.state, context.bad, context.age = play_rollout(lambda t, s, a, n: (int(n % 20 == 0), 0))
+
+
+@then("it completes before its time is over")
+def step_completed(context):
+    """Done in time."""
+    assert context.state == "completed" and context.age < 24.0, (context.state, context.age)
+
+
+@then("a session that is under way keeps its version in the first stages")
+def step_keeps(context):
+    """On either version."""
+    for share in staging.STAGE_SHARES[:2]:
+        plan = staging.Plan("v1", "v2", share, frozenset())
+        for number in range(200):
+            for kept in ("v1", "v2"):
+                assert staging.plan_version(plan, "models", f"s{number}", kept) == kept
+
+
+@then("every gateway finds the same version for a new session")
+def step_pure(context):
+    """Nothing but session and stage decides."""
+    plan = staging.Plan("v1", "v2", 0.5, frozenset())
+    first = [staging.plan_version(plan, "models", f"s{n}", None) for n in range(100)]
+    assert first == [staging.plan_version(plan, "models", f"s{n}", None) for n in range(100)]
+    assert 30 < first.count("v2") < 70
+
+
+@then("shares only grow from stage to stage")
+def step_grow(context):
+    """Who is on the new version stays there."""
+    moved = set()
+    for share in staging.STAGE_SHARES:
+        plan = staging.Plan("v1", "v2", share, frozenset())
+        now = {n for n in range(500) if staging.plan_version(plan, "m", f"s{n}", None) == "v2"}
+        assert moved <= now
+        moved = now
+    assert len(moved) == 500
+
+
+@then("engines of a version that was taken back or is not ordered get nothing")
+def step_forbidden(context):
+    """By plan, for each state."""
+    engines = [make_engine("a"), make_engine("b"), make_engine("c", version="v2", revision=9)]
+    rollout = routing.Rollout("models", "v2", 24.0, "reverted", 1, 1)
+    for plan in (
+        staging.make_plan(rollout, engines, False),
+        staging.make_plan(rollout._replace(state="running"), engines, True),
+        staging.make_plan(None, engines, False),
+    ):
+        chosen = {staging.plan_version(plan, "models", f"s{n}", None) for n in range(100)}
+        assert chosen == {"v1"}
+    done = staging.make_plan(rollout._replace(state="completed"), engines, False)
+    assert staging.plan_version(done, "models", "s", "v1") == "v2"
+
+
+@then("a trusted answer is passed on and an unsure one is not")
+def step_trust(context):
+    """By the small model's confidence."""
+    step = steps.first_step(make_route(), 3)
+    assert step == steps.Step("small", False)
+    assert steps.accepts(step, 95, 0.1, 1.0, 2)
+    assert not steps.accepts(step, 10, 0.1, 1.0, 2)
+    assert steps.accepts(steps.next_step(make_route()), 10, 0.1, 1.0, 1)
+
+
+@then("an unsure answer is passed on when there is no time for another")
+def step_no_time(context):
+    """Late in the objective, or with no attempt left."""
+    step = steps.first_step(make_route(), 3)
+    assert steps.accepts(step, 10, 0.9, 1.0, 2)
+    assert steps.accepts(step, 10, 0.1, 1.0, 0)
+
+
+@then("a request that only one engine may run goes to the largest model")
+def step_single(context):
+    """No second step would be possible."""
+    assert steps.first_step(make_route(), 1) == steps.Step("large", True)
+    assert steps.first_step(make_route(models=()), 3) == steps.Step("", True)
+
+
+@then("an engine that is silent on all connections is left early")
+def step_dead(context):
+    """Nothing came since the wait began."""
+    wait = patience.for_first(2.0)
+    assert not patience.is_dead(10.5, 10.0, 9.0, wait)
+    assert patience.is_dead(10.01 + wait.dead_s, 10.0, 9.0, wait)
+
+
+@then("an engine that goes on with other answers is left only late")
+def step_alive(context):
+    """Something came a moment ago."""
+    wait = patience.for_first(2.0)
+    assert not patience.is_dead(10.0 + wait.dead_s, 10.0, 10.0 + wait.dead_s - 0.1, wait)
+    assert patience.is_dead(10.01 + wait.slow_s, 10.0, 10.0 + wait.slow_s, wait)
+
+
+@then("answers of 8 times the usual length are slow and those of twice are not")
+def step_norms(context):
+    """First parts and gaps between events."""
+    found = norms.Norms()
+    for _ in range(20):
+        found.note("r", "m", norms.Timing(0.2, 0.02))
+    assert found.is_slow("r", "m", norms.Timing(1.6, 0.02))
+    assert found.is_slow("r", "m", norms.Timing(0.2, 0.16))
+    assert not found.is_slow("r", "m", norms.Timing(0.4, 0.04))
+    assert not found.is_slow("other", "m", norms.Timing(9.0, 9.0))
+
+
+@then("nothing is slow before there are enough answers to know")
+def step_few(context):
+    """Two answers are no norm."""
+    found = norms.Norms()
+    found.note("r", "m", norms.Timing(0.2, 0.02))
+    found.note("r", "m", norms.Timing(0.2, 0.02))
+    assert not found.is_slow("r", "m", norms.Timing(9.0, 9.0))
