Let a new version meet fewer requests until it is known; count dropped and slow answers

Ruled out: errors: the version answers without any. Change: the first share is 4 in 100 instead of 8, then 20, 50 and 100; stages scale with the order's time; dropped answers count; slowness is judged against the serving version's; a version on trial is kept to as many engines as its share asks for.

--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -306,9 +306,9 @@
         service = table.services[req.service]
         now = asyncio.get_running_loop().time()
         version = self._choose_version(now)
-        states = [
-            item for item in ctx.engines.open_to(req.service) if item.engine.version == version
-        ]
+        states = self._narrow(
+            [item for item in ctx.engines.open_to(req.service) if item.engine.version == version]
+        )
         slots = max((item.engine.slots for item in states), default=1)
         share = max(LEAST_RUNNING, int(slots * MAX_RUNNING_SHARE / ctx.gateways()) + 1)
         pick = selection.Pick(
@@ -321,6 +321,15 @@
         )
         return selection.choose(states, pick, ctx.rng, ctx.loads)
 
+    def _narrow(self, states: list[engineset.EngineState]) -> list[engineset.EngineState]:
+        """Keep a version on trial to as many engines as its share asks for, if one is left."""
+        plan = self._ctx.plan_for(self._req.service)
+        if plan.trial is None or not states or states[0].engine.version != plan.trial:
+            return states
+        kept = staging.trial_engines([item.engine.id for item in states], plan)
+        able = [item for item in states if item.engine.id in kept - self.tried]
+        return able or states
+
     def _choose_version(self, now: float) -> str | None:
         """The version to run on; a request that moves on stays with its version if it can."""
         ctx, req = self._ctx, self._req
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -165,9 +165,11 @@
         if key in ctx.vetoes:
             verdict = staging.Verdict("reverted", rollout.stage, "vetoed here")
         if verdict is not None:
-            await self._write(rollout, verdict)
+            await self._write(rollout, verdict, f"{trial} usual {usual}")
 
-    async def _write(self, rollout: routing.Rollout, verdict: staging.Verdict) -> None:
+    async def _write(
+        self, rollout: routing.Rollout, verdict: staging.Verdict, evidence: str
+    ) -> None:
         wanted = rollout._replace(state=verdict.state, stage=verdict.stage)
         status = decoding.write_rollout_status(wanted)
         outcome = "written"
@@ -187,6 +189,7 @@
             state=verdict.state,
             stage=verdict.stage,
             reason=verdict.reason,
+            evidence=evidence,
             outcome=outcome,
         )
 
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -123,6 +123,11 @@
     def _step_up(self, opened: attempt.Opened) -> None:
         """Drop an answer that its model is unsure of, and ask the largest model."""
         opened.attempt.end()
+        # A dropped answer says how fast its engine is, and that it did not fail.
+        timing = norms.Timing(opened.at - opened.attempt.sent_at, 0.0)
+        slow = self.ctx.norms.is_slow(self.req.route.name, self._step.model, timing)
+        version = opened.attempt.state.engine.version
+        self.ctx.note_result(self.req.service, version, False, slow)
         self.ctx.log.write(
             "step_up",
             request=self.req.head.id,
@@ -206,7 +211,7 @@
         plan = self.ctx.plan_for(self.req.service)
         on_trial = plan.trial is not None and state.engine.version == plan.trial
         # Routes differ in the size of their prompts, so each has its own usual times.
-        slow = on_trial and self.ctx.norms.is_slow(self.req.route.name, model, timing)
+        slow = self.ctx.norms.is_slow(self.req.route.name, model, timing)
         if whole and not on_trial:
             self.ctx.norms.note(self.req.route.name, model, timing)
         if whole:
--- a/berylrock/ops/norms.py
+++ b/berylrock/ops/norms.py
@@ -9,7 +9,7 @@
 
 LEARNING_SHARE = 0.1
 LEAST_SAMPLES = 8
-SLOW_RATIO = 4.0
+SLOW_RATIO = 3.0
 LEAST_FIRST_S = 0.25
 LEAST_PER_EVENT_S = 0.03
 
--- a/berylrock/ops/staging.py
+++ b/berylrock/ops/staging.py
@@ -24,14 +24,16 @@
     "looks_bad",
     "make_plan",
     "plan_version",
+    "trial_engines",
 ]
 
-STAGE_SHARES = (0.08, 0.5, 1.0)
+# The first share is so small that a version that is bad meets few requests in half of the time.
+STAGE_SHARES = (0.04, 0.2, 0.5, 1.0)
 LAST_STAGE = len(STAGE_SHARES) - 1
 # Sessions may move once half of the time is over; a little later, so that clocks may differ.
-FIRST_STAGE_SHARE_OF_TIME = 0.53
-STAGE_S = 3.0
-LAST_STAGE_S = 5.0
+FIRST_STAGE_SHARE_OF_TIME = 0.515
+STAGE_S, STAGE_SHARE_OF_TIME = 2.5, 0.1
+LAST_STAGE_S, LAST_STAGE_SHARE_OF_TIME = 4.5, 0.17
 HASH_RANGE = 2.0**64
 
 LEAST_ERRORS = 5
@@ -39,8 +41,10 @@
 # A failing engine or link costs every version some errors; a bad version has several times as many.
 ERROR_RATIO = 3.0
 ERROR_ALLOWANCE = 0.01
-LEAST_SLOW = 6
-SLOW_SHARE = 0.3
+LEAST_SLOW = 5
+SLOW_SHARE = 0.15
+# Load makes every version slow now and then.
+SLOW_RATIO, SLOW_ALLOWANCE = 2.0, 0.025
 
 
 class Evidence(NamedTuple):
@@ -146,6 +150,23 @@
     return plan.stable or plan.trial
 
 
+def trial_engines(engine_ids: list[str], plan: Plan) -> frozenset[str]:
+    """The engines that take what goes to a version on trial.
+
+    Few requests on few engines load each of them as it will be loaded later, so that a version that
+    is bad only under load shows it while few requests have met it.
+
+    Args:
+      engine_ids: Engines of the version on trial.
+      plan: The service's plan.
+
+    Returns:
+      As many of them as the share asks for; the same at every gateway.
+    """
+    ranked = sorted(engine_ids, key=lambda item: _point("", plan.trial or "", item))
+    return frozenset(ranked[: max(1, round(plan.share * len(ranked)))])
+
+
 class SessionVersions:
     """The version of each session that is under way, by service."""
 
@@ -173,7 +194,9 @@
     failing = trial.errors / answers >= max(ERROR_SHARE, ERROR_RATIO * (usual + ERROR_ALLOWANCE))
     if trial.errors >= LEAST_ERRORS and failing:
         return True
-    return trial.slow >= LEAST_SLOW and trial.slow / answers >= SLOW_SHARE
+    usual = stable.slow / stable.answers if stable.answers else 0.0
+    slow = trial.slow / answers >= max(SLOW_SHARE, SLOW_RATIO * (usual + SLOW_ALLOWANCE))
+    return trial.slow >= LEAST_SLOW and slow
 
 
 def decide(
@@ -201,8 +224,8 @@
         ready = age_s >= rollout.duration_s * FIRST_STAGE_SHARE_OF_TIME
         return Verdict("running", 1, "half of the time is over") if ready else None
     if rollout.stage < LAST_STAGE:
-        due = stage_s >= STAGE_S
+        due = stage_s >= min(STAGE_S, STAGE_SHARE_OF_TIME * rollout.duration_s)
         return Verdict("running", rollout.stage + 1, "no fault found") if due else None
-    if stage_s >= LAST_STAGE_S:
+    if stage_s >= min(LAST_STAGE_S, LAST_STAGE_SHARE_OF_TIME * rollout.duration_s):
         return Verdict("completed", LAST_STAGE, "all sessions moved")
     return None
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -61,6 +61,14 @@
       | only under load  | 30   |
       | after a while    | 30   |
 
+  @failure.bad_version
+  Scenario: A slow version during a burst that slows every version
+    Given a roll-out of a version 8 times slower while 1 in 12 answers of all versions is slow
+    Then it is taken back before 20 of its bad answers were seen
+
+  Scenario: A version on trial is loaded as it will be later
+    Then a share of the sessions goes to the same share of the engines on trial
+
   Scenario: A good version completes in time, also beside failing engines
     Given a roll-out whose new version is good while 1 in 20 answers of all versions fails
     Then it completes before its time is over
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -25,7 +25,7 @@
             if on_trial:
                 trial, bad = trial.plus(result), bad + failed + slow
             else:
-                usual = usual.plus(staging.Evidence(1, failed, 0))
+                usual = usual.plus(staging.Evidence(1, failed, slow))
         verdict = staging.decide(rollout, trial, usual, age, age - stage_at)
         if verdict is not None:
             if verdict.stage != rollout.stage:
@@ -57,6 +57,29 @@
     assert context.state == "reverted" and context.bad < most, (context.state, context.bad)
 
 
+@given("a roll-out of a version 8 times slower while 1 in 12 answers of all versions is slow")
+def step_slow_in_burst(context):
+    """Two in five answers of the new version are slow, and one in twelve of the old one."""
+
+    def results(trial, share, age, number):
+        return 0, int(number % 5 < 2 if trial else number % 12 == 0)
+
+    context.state, context.bad, context.age = play_rollout(results)
+
+
+@then("a share of the sessions goes to the same share of the engines on trial")
+def step_trial_engines(context):
+    """At least one engine, and more as the share grows."""
+    ids = [f"e{n}" for n in range(10)]
+    sizes, kept = [], frozenset()
+    for share in staging.STAGE_SHARES:
+        found = staging.trial_engines(ids, staging.Plan("v1", "v2", share, frozenset()))
+        assert kept <= found
+        kept = found
+        sizes.append(len(found))
+    assert sizes == [1, 2, 5, 10], sizes
+
+
 @given("a roll-out whose new version is good while 1 in 20 answers of all versions fails")
 def step_good(context):
     """Play it beside failing engines."""
@@ -72,7 +95,7 @@
 @then("a session that is under way keeps its version in the first stages")
 def step_keeps(context):
     """On either version."""
-    for share in staging.STAGE_SHARES[:2]:
+    for share in staging.STAGE_SHARES[:-1]:
         plan = staging.Plan("v1", "v2", share, frozenset())
         for number in range(200):
             for kept in ("v1", "v2"):
