--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -6,7 +6,7 @@
 
 from berylrock.adapters import http1
 from berylrock.core import routing
-from berylrock.daemons.gateway import answering, attempt, context, pool
+from berylrock.daemons.gateway import answering, attempt, context, pool, sending
 from berylrock.ops import engineset, patience
 
 __all__ = ["Forwarding"]
@@ -33,7 +33,7 @@
         req: routing.Request,
         out: answering.Responder,
     ) -> None:
-        self.sender = attempt.Sender(ctx, conns, req)
+        self.sender = sending.Sender(ctx, conns, req)
         self.ctx = ctx
         self.req = req
         self.out = out
