Test pages, refusals of the store and a body in chunks

Cause: the issue asks for a test of each point of parsing and of the store client; these had none. Change: the stand-in store has small pages and answers 429; four scenarios. No product code changed.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -201,3 +201,23 @@
     Given the next plain answer is "reset"
     When an order, a request with a wrong key and a chat that breaks off are sent
     Then the log alone explains each of them
+
+  Scenario Outline: A store that answers <mode> for a moment costs no request
+    When the store answers "<mode>" for 1 s
+    Then all requests sent meanwhile are answered 200
+
+    Examples:
+      | mode    |
+      | busy    |
+      | limited |
+
+  Scenario: A list of several pages is read whole
+    Given a store whose pages hold 2 objects
+    When 8 reads are sent one after the other
+    Then each read got the answer to its own request
+    And every plain engine ran something
+
+  Scenario: A body in chunks reaches the engine whole
+    When an order is sent in chunks
+    Then it is answered 200 whole
+    And the engine got "first second" as its body
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -393,3 +393,16 @@
     assert "200 stream" in texts[2] and "3 sends" not in texts[2], texts[2]
     context_lines = tracing.trace(lines, f"{3:016x}").context
     assert any(line.event == "config_in_force" for line in context_lines)
+
+
+@when("an order is sent in chunks")
+def step_chunks(context):
+    """Send a body without a length, in two parts."""
+    chunks = b"6\r\nfirst \r\n6\r\nsecond\r\n0\r\n\r\n"
+    context.result = context.gateway.send_chunks("/order/a", chunks)
+
+
+@then('the engine got "{text}" as its body')
+def step_body(context, text):
+    """The parts arrived as one body."""
+    assert context.gateway.runs("plain")[0].body == text.encode()
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -4,7 +4,7 @@
 import time
 
 from behave import given, then, when
-from support.platform import fleet
+from support.platform import fleet, scenario
 
 
 @given('the engine "{name}" is in zone "{zone}"')
@@ -167,3 +167,29 @@
     """The fault is in the log and requests are served."""
     context.gateway.wait(lambda: "platform.address: missing" in context.gateway.log(), "fault")
     assert context.gateway.send().status == 200
+
+
+@when('the store answers "{mode}" for {seconds:g} s')
+def step_refusing(context, mode, seconds):
+    """Send while the store refuses all calls."""
+    gateway = context.gateway
+    gateway.thread.run(gateway.store.set_mode(mode))
+    until = time.monotonic() + seconds
+    context.results = []
+    while time.monotonic() < until:
+        context.results.append(gateway.send())
+    gateway.wait(lambda: "event=store_lost" in gateway.log(), "the refusal is noticed")
+    gateway.thread.run(gateway.store.set_mode("up"))
+    gateway.wait(lambda: "event=store_regained" in gateway.log(), "the store is regained")
+
+
+@given("a store whose pages hold {count:d} objects")
+def step_pages(context, count):
+    """Start again with a store of small pages and more engines than one holds."""
+    scenario.start(context, plain=4, page=count)
+
+
+@then("every plain engine ran something")
+def step_all_ran(context):
+    """The engines of every page are known."""
+    assert all(item.runs for item in scenario.plain(context))
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -1,5 +1,6 @@
 """A gateway process between a stand-in store, stand-in engines and test callers."""
 
+import asyncio
 import itertools
 import os
 import pathlib
@@ -110,11 +111,12 @@
 class GatewayFleet:
     """All that a scenario runs."""
 
-    def __init__(self, root, plain=2, models=2, revoke_ms=5000, grace_s=4):
+    def __init__(self, root, plain=2, models=2, revoke_ms=5000, grace_s=4, page=500):
         self.root = pathlib.Path(root)
         self.host = f"127.0.{os.getpid() % 200 + 1}.{next(_hosts)}"
         self.thread = loop.LoopThread()
         self.store = store.StandInStore()
+        self.store.page = page
         self.thread.run(self.store.start())
         self.engines = {}
         self.config_version = 1
@@ -196,6 +198,21 @@
         target = (self.host, self.port)
         return exchange(target, method, path, [*lines, *headers], body)
 
+    def send_chunks(self, path, chunks):
+        """Post chunks that are framed already."""
+        lines = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\n"
+        lines += "X-Berylrock-Attempt-Id: 00000000000000cc\r\nTransfer-Encoding: chunked\r\n"
+
+        async def post():
+            reader, writer = await asyncio.open_connection(self.host, self.port)
+            writer.write(lines.encode() + b"Connection: close\r\n\r\n" + chunks)
+            data = await reader.read()
+            writer.close()
+            head, _, body = data.partition(b"\r\n\r\n")
+            return Answer(int(head.split()[1]), {}, body, bool(body))
+
+        return self.thread.run(post())
+
     def chat(self, headers=()):
         """Send a request for a stream."""
         lines = [
--- a/features/support/platform/store.py
+++ b/features/support/platform/store.py
@@ -9,13 +9,14 @@
 from berylrock.adapters import http1
 
 HEADER_BYTES = 65_536
+REFUSALS = {"busy": 503, "limited": 429}
 
 
 class StandInStore:
     """Holds objects in memory.
 
     ``mode`` is one of: ``up``, ``down`` (resets), ``silent`` (no answer), ``busy`` (503),
-    ``lossy`` (writes are done and not answered).
+    ``limited`` (429), ``lossy`` (writes are done and not answered).
     """
 
     def __init__(self):
@@ -102,8 +103,8 @@
             return False
         if self.mode == "silent":
             await asyncio.sleep(3600)
-        if self.mode == "busy":
-            return await self._answer(link, 503, {"error": "busy"})
+        if self.mode in REFUSALS:
+            return await self._answer(link, REFUSALS[self.mode], {"error": self.mode})
         status, answer = await self._handle(method, target, body)
         if self.mode == "lossy" and method != "GET":
             link.abort()
