Move most sessions to a new version shortly before its deadline

Cause: EXPOSURE with a version that is slow only under load. Moving all sessions seconds before the deadline then sends it a third of the requests of the order's time. Ruled out: a stricter judge (nothing to judge), more load on the trial's engines (18 to 22 requests held at one engine showed nothing either). Change: the stages are laid out from the deadline backwards, so that a version stays within its share whatever shows; gateways act 0.1 s apart. Test: a version whose fault never shows, five cases.

--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -12,7 +12,7 @@
 HEARTBEAT_S = 8.0
 EVIDENCE_S = 0.6
 # Gateways act one after the other, so that mostly one writes.
-TURN_S = 0.35
+TURN_S = 0.1
 
 
 class SelfRecord:
@@ -160,7 +160,12 @@
             )
         late_s = 0.0 if key in ctx.vetoes else self._turn() * TURN_S
         verdict = staging.decide(
-            rollout, trial, usual, now - progress.seen_at - late_s, now - progress.stage_at - late_s
+            rollout,
+            trial,
+            usual,
+            now - progress.seen_at - late_s,
+            now - progress.stage_at - late_s,
+            ctx.cfg.bounds.canary_share,
         )
         if key in ctx.vetoes:
             verdict = staging.Verdict("reverted", rollout.stage, "vetoed here")
--- a/berylrock/ops/staging.py
+++ b/berylrock/ops/staging.py
@@ -5,8 +5,10 @@
 so every gateway finds the same one; shares only grow, and a session that is under way keeps its
 version through the first half.
 
-Load pattern: a version that fails at once, slowly, only under load, only on one route or only
-after a while must be found while few requests have met it.
+Load patterns: a version that fails at once, slowly, only under load, only on one route or only
+after a while must be found while few requests have met it. A version whose fault does not show at
+the load of the day cannot be found; its roll-out must still send it no more than its share of the
+requests before the order's deadline, so most sessions move shortly before that.
 """
 
 import hashlib
@@ -17,23 +19,33 @@
 __all__ = [
     "Evidence",
     "Plan",
+    "Schedule",
     "SessionVersions",
     "Verdict",
     "baseline_version",
     "decide",
     "looks_bad",
     "make_plan",
+    "make_schedule",
     "plan_version",
     "trial_engines",
 ]
 
-# The first share is so small that a version that is bad meets few requests in half of the time.
-STAGE_SHARES = (0.04, 0.2, 0.5, 1.0)
+# The first share is so small that a version that is bad meets few requests while it is watched; the
+# second one fills the caches of the engines that are to take over.
+STAGE_SHARES = (0.035, 0.2, 1.0)
 LAST_STAGE = len(STAGE_SHARES) - 1
 # Sessions may move once half of the time is over; a little later, so that clocks may differ.
 FIRST_STAGE_SHARE_OF_TIME = 0.515
-STAGE_S, STAGE_SHARE_OF_TIME = 2.5, 0.1
-LAST_STAGE_S, LAST_STAGE_SHARE_OF_TIME = 4.5, 0.17
+# What a version may get before the deadline, in seconds of the service's whole traffic, is divided
+# over the stages. The last one counts up to the deadline; the first stage takes the rest.
+SECOND_STAGE_SHARE_OF_EXPOSURE = 0.12
+LAST_STAGE_SHARE_OF_EXPOSURE = 0.6
+# Completed so long before the deadline that the write may be made again.
+COMPLETE_EARLY_S = 0.9
+# On completion the old engines stop at once; short requests have ended by then.
+LEAST_LAST_STAGE_S = 0.7
+LEAST_SECOND_STAGE_S = 0.4
 HASH_RANGE = 2.0**64
 
 LEAST_ERRORS = 5
@@ -80,6 +92,20 @@
     forbidden: frozenset[str]
 
 
+class Schedule(NamedTuple):
+    """When the stages of a roll-out begin, in seconds after the order.
+
+    Attributes:
+      second: Its second stage.
+      last: Its last stage, in which all sessions move.
+      completed: The old engines may stop.
+    """
+
+    second: float
+    last: float
+    completed: float
+
+
 class Verdict(NamedTuple):
     """What to write into a roll-out's status."""
 
@@ -199,8 +225,30 @@
     return trial.slow >= LEAST_SLOW and slow
 
 
+def make_schedule(duration_s: float, canary_share: float) -> Schedule:
+    """Say when the stages begin, so that a bad version stays within its share.
+
+    Args:
+      duration_s: Time in which the order is to be done.
+      canary_share: Most of the requests in that time that a bad version may get.
+
+    Returns:
+      The schedule.
+    """
+    exposure_s = canary_share * duration_s
+    last = duration_s - LAST_STAGE_SHARE_OF_EXPOSURE * exposure_s
+    second = last - SECOND_STAGE_SHARE_OF_EXPOSURE * exposure_s / STAGE_SHARES[1]
+    half = FIRST_STAGE_SHARE_OF_TIME * duration_s
+    return Schedule(max(second, half), max(last, half), duration_s - COMPLETE_EARLY_S)
+
+
 def decide(
-    rollout: routing.Rollout, trial: Evidence, stable: Evidence, age_s: float, stage_s: float
+    rollout: routing.Rollout,
+    trial: Evidence,
+    stable: Evidence,
+    age_s: float,
+    stage_s: float,
+    canary_share: float,
 ) -> Verdict | None:
     """Decide what a roll-out's status is to say next.
 
@@ -210,6 +258,7 @@
       stable: Results of the version that serves.
       age_s: Time since the order.
       stage_s: Time since the stage began.
+      canary_share: Most of the requests before the deadline that a bad version may get.
 
     Returns:
       What to write; None to leave it.
@@ -220,12 +269,12 @@
         return Verdict("reverted", rollout.stage, f"errors+slow/answers={trial}")
     if rollout.state == "new":
         return Verdict("running", 0, "taken up")
+    due = make_schedule(rollout.duration_s, canary_share)
     if rollout.stage == 0:
-        ready = age_s >= rollout.duration_s * FIRST_STAGE_SHARE_OF_TIME
-        return Verdict("running", 1, "half of the time is over") if ready else None
+        return Verdict("running", 1, "no fault found") if age_s >= due.second else None
     if rollout.stage < LAST_STAGE:
-        due = stage_s >= min(STAGE_S, STAGE_SHARE_OF_TIME * rollout.duration_s)
-        return Verdict("running", rollout.stage + 1, "no fault found") if due else None
-    if stage_s >= min(LAST_STAGE_S, LAST_STAGE_SHARE_OF_TIME * rollout.duration_s):
+        ready = age_s >= due.last and stage_s >= LEAST_SECOND_STAGE_S
+        return Verdict("running", LAST_STAGE, "no fault found") if ready else None
+    if age_s >= due.completed and stage_s >= LEAST_LAST_STAGE_S:
         return Verdict("completed", LAST_STAGE, "all sessions moved")
     return None
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -66,6 +66,19 @@
     Given a roll-out of a version 8 times slower while 1 in 12 answers of all versions is slow
     Then it is taken back before 20 of its bad answers were seen
 
+  @failure.bad_version
+  Scenario Outline: A version whose fault never shows in <seconds> s with a share of <share>
+    Given a roll-out of <seconds> s whose version may get <share> of the requests
+    Then it is completed, and until its deadline it got fewer requests than it may
+
+    Examples:
+      | seconds | share |
+      | 24      | 0.15  |
+      | 16      | 0.15  |
+      | 24      | 0.12  |
+      | 16      | 0.12  |
+      | 60      | 0.1   |
+
   Scenario: A version on trial is loaded as it will be later
     Then a share of the sessions goes to the same share of the engines on trial
 
