Tell the other gateways by datagram what versions on trial have shown, and which were found bad

Change: an evidence pool; results and vetoes travel with the load news, 4 times a second; the record in the store carries results every 2.5 s for gateways that hear no datagrams. Tests: a gateway whose store is silent stops using a version that another one says is bad; results count together by whichever way they come.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -7,6 +7,7 @@
 from berylrock.ops import (
     budget,
     engineset,
+    evidence,
     freshness,
     loadview,
     norms,
@@ -40,8 +41,7 @@
       fresh: How old the knowledge of the configuration is.
       engines: The engines.
       rollouts: Roll-outs by service.
-      vetoes: Targets that this gateway found bad, as ``(service, version)``.
-      evidence: Results by ``(service, version)``.
+      evidence: Results of versions, and those that were found bad.
       peers: The other gateways by name, with the time of their last heartbeat.
       sessions: Versions of the sessions that are under way.
       strikes: Requests that were held when an engine fell.
@@ -71,8 +71,7 @@
         self.engines = engineset.EngineSet()
         self.engines_known = False
         self.rollouts: dict[str, routing.Rollout] = {}
-        self.vetoes: set[tuple[str, str]] = set()
-        self.evidence: dict[tuple[str, str], staging.Evidence] = {}
+        self.evidence = evidence.EvidencePool()
         self.peers: dict[str, tuple[routing.Peer, float]] = {}
         self.sessions = staging.SessionVersions()
         self.strikes = strikes.StrikeTable(FALLS_TO_REFUSE)
@@ -117,11 +116,18 @@
         """Which versions of a service may get requests now."""
         rollout = self.rollouts.get(service)
         engines = [item.engine for item in self.engines.of_service(service)]
-        vetoed = rollout is not None and (service, rollout.target) in self.vetoes
+        vetoed = rollout is not None and self.is_vetoed(service, rollout.target)
         return staging.make_plan(rollout, engines, vetoed)
 
+    def services_on_trial(self) -> set[str]:
+        """Services whose roll-out is under way."""
+        return {item.service for item in self.rollouts.values() if item.state == "running"}
+
+    def is_vetoed(self, service: str, version: str) -> bool:
+        """Whether a version was found bad."""
+        return evidence.VersionKey(service, version) in self.evidence.vetoes
+
     def note_result(self, service: str, version: str, failed: bool, slow: bool = False) -> None:
         """Take the result of an answer as evidence for or against a version."""
-        key = (service, version)
         result = staging.Evidence(1, int(failed), int(slow and not failed))
-        self.evidence[key] = self.evidence.get(key, staging.Evidence()).plus(result)
+        self.evidence.note(evidence.VersionKey(service, version), result)
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -4,13 +4,14 @@
 
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
-from berylrock.ops import freshness, staging
+from berylrock.ops import evidence, freshness, staging
 from berylrock.platform import decoding, names
 
 __all__ = ["RolloutControl", "SelfRecord"]
 
 HEARTBEAT_S = 8.0
-EVIDENCE_S = 0.6
+# Evidence reaches the others by datagrams; the record is for those that get none.
+EVIDENCE_S = 2.5
 # Gateways act one after the other, so that mostly one writes.
 TURN_S = 0.1
 
@@ -27,16 +28,12 @@
 
     def _make(self) -> routing.Peer:
         ctx = self._ctx
-        running = {item.service for item in ctx.rollouts.values() if item.state == "running"}
-        evidence = {
-            f"{service} {version}": (item.answers, item.errors, item.slow)
-            for (service, version), item in ctx.evidence.items()
-            if service in running
-        }
+        found = ctx.evidence.of_services(ctx.services_on_trial())
+        results = evidence.write_results(found)
         suspects: dict[str, tuple[str, ...]] = {}
         for strike in ctx.strikes.all():
             suspects[strike.fingerprint] = (*suspects.get(strike.fingerprint, ()), strike.fall)
-        return routing.Peer(ctx.cfg.name, ctx.cfg.address, self._beat, evidence, suspects, 0)
+        return routing.Peer(ctx.cfg.name, ctx.cfg.address, self._beat, results, suspects, 0)
 
     async def tend(self) -> None:
         """Write the record if it is due or has news."""
@@ -117,15 +114,6 @@
         live = sorted({*self._ctx.peers, self._ctx.cfg.name})
         return live.index(self._ctx.cfg.name)
 
-    def _pool(self, service: str, version: str | None) -> staging.Evidence:
-        """Results of a version, of this gateway and the others."""
-        found = self._ctx.evidence.get((service, version or ""), staging.Evidence())
-        for name, (peer, _) in self._ctx.peers.items():
-            if name != self._ctx.cfg.name:
-                more = peer.evidence.get(f"{service} {version}", (0, 0, 0))
-                found = found.plus(staging.Evidence(*more))
-        return found
-
     async def tend(self) -> None:
         """Look at every roll-out."""
         for rollout in list(self._ctx.rollouts.values()):
@@ -146,11 +134,11 @@
         stable = staging.baseline_version(
             [item for item in engines if item.version != rollout.target]
         )
-        trial = self._pool(rollout.service, rollout.target)
-        usual = self._pool(rollout.service, stable)
-        key = (rollout.service, rollout.target)
-        if key not in ctx.vetoes and staging.looks_bad(trial, usual):
-            ctx.vetoes.add(key)
+        key = evidence.VersionKey(rollout.service, rollout.target)
+        trial = ctx.evidence.pooled(key)
+        usual = ctx.evidence.pooled(evidence.VersionKey(rollout.service, stable or ""))
+        if key not in ctx.evidence.vetoes and staging.looks_bad(trial, usual):
+            ctx.evidence.vetoes.add(key)
             ctx.log.write(
                 "version_vetoed",
                 service=rollout.service,
@@ -158,7 +146,7 @@
                 trial=str(trial),
                 usual=str(usual),
             )
-        late_s = 0.0 if key in ctx.vetoes else self._turn() * TURN_S
+        late_s = 0.0 if key in ctx.evidence.vetoes else self._turn() * TURN_S
         verdict = staging.decide(
             rollout,
             trial,
@@ -167,8 +155,8 @@
             now - progress.stage_at - late_s,
             ctx.cfg.bounds.canary_share,
         )
-        if key in ctx.vetoes:
-            verdict = staging.Verdict("reverted", rollout.stage, "vetoed here")
+        if key in ctx.evidence.vetoes:
+            verdict = staging.Verdict("reverted", rollout.stage, "found bad")
         if verdict is not None:
             await self._write(rollout, verdict, f"{trial} usual {usual}")
 
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -1,5 +1,6 @@
-"""Tells the other gateways by datagrams what runs at each engine, and hears theirs.
+"""Tells the other gateways by datagrams what changes each second, and hears theirs.
 
+That is what runs at each engine, what was repeated, and what versions on trial have shown.
 A datagram that is lost costs nothing: the next one replaces it.
 """
 
@@ -9,7 +10,7 @@
 
 from berylrock.core import errors
 from berylrock.daemons.gateway import context
-from berylrock.ops import budget, loadview
+from berylrock.ops import budget, evidence, loadview, staging
 
 __all__ = ["Gossip"]
 
@@ -20,18 +21,22 @@
 MS_PER_S = 1000.0
 
 
-class LoadNews(msgspec.Struct, array_like=True):
-    """What one gateway has running and has repeated.
+class News(msgspec.Struct, array_like=True):
+    """What one gateway has running, has repeated and has found.
 
     Attributes:
       gateway: Its name.
       loads: Engine, requests, tokens and milliseconds since it was heard, for each engine.
       spent: Service, requests and repeats in the window of the retry budget.
+      results: Service, version, answers, failed and slow ones, for roll-outs under way.
+      vetoes: Service and version of those that were found bad.
     """
 
     gateway: str
     loads: list[tuple[str, int, int, int]]
     spent: list[tuple[str, int, int]]
+    results: list[tuple[str, str, int, int, int]] = []
+    vetoes: list[tuple[str, str]] = []
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -55,11 +60,12 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take another gateway's news; what cannot be read is dropped."""
         try:
-            news = msgspec.msgpack.decode(data, type=LoadNews)
+            news = msgspec.msgpack.decode(data, type=News)
         except msgspec.MsgspecError:
             self._ctx.meter.count("gossip_unreadable")
             return
         now = asyncio.get_running_loop().time()
+        self._take_findings(news)
         loads = tuple(
             loadview.EngineLoad(name, count, work, now - quiet_ms / MS_PER_S)
             for name, count, work, quiet_ms in news.loads
@@ -67,12 +73,42 @@
         spent = {name: budget.Spent(asked, again) for name, asked, again in news.spent}
         self._ctx.loads.note(news.gateway, loads, spent, now)
 
+    def _take_findings(self, news: News) -> None:
+        """Take what the other gateway knows of versions."""
+        found = {
+            evidence.VersionKey(service, version): staging.Evidence(*counts)
+            for service, version, *counts in news.results
+        }
+        self._ctx.evidence.take(news.gateway, found)
+        for veto in news.vetoes:
+            key = evidence.VersionKey(*veto)
+            if key not in self._ctx.evidence.vetoes:
+                self._ctx.evidence.vetoes.add(key)
+                self._ctx.log.write(
+                    "version_vetoed", service=key.service, target=key.version, by=news.gateway
+                )
+
     def error_received(self, exc: Exception) -> None:
         """A peer is not there; its record in the store will go."""
         self._ctx.meter.count("gossip_undelivered")
 
     def tell(self) -> None:
-        """Send what runs now to the other gateways, unless nothing runs and they know it."""
+        """Tell the other gateways, unless there is nothing to tell and they know it."""
+        news = self._make()
+        busy = bool(news.loads or news.results)
+        if self._transport is None or not (busy or self._was_busy):
+            return
+        self._was_busy = busy
+        data = msgspec.msgpack.encode(news)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            news.loads.sort(key=lambda item: -item[2])
+            del news.loads[len(news.loads) // 2 :]
+            data = msgspec.msgpack.encode(news)
+        for address in self._choose_peers():
+            self._transport.sendto(data, (address, self._ctx.cfg.peer_port))
+
+    def _make(self) -> News:
+        """What there is to tell."""
         ctx = self._ctx
         now = asyncio.get_running_loop().time()
         loads = [
@@ -85,17 +121,13 @@
             for state in ctx.engines.all()
             if state.running
         ]
-        if self._transport is None or not (loads or self._was_busy):
-            return
-        self._was_busy = bool(loads)
         window_s = ctx.cfg.bounds.retry_window_s
         spent = [(name, *item.spent(now, window_s)) for name, item in ctx.budgets.items()]
-        data = msgspec.msgpack.encode(LoadNews(ctx.cfg.name, loads, spent))
-        if len(data) > MAX_DATAGRAM_BYTES:
-            loads.sort(key=lambda item: -item[2])
-            data = msgspec.msgpack.encode(LoadNews(ctx.cfg.name, loads[: len(loads) // 2], spent))
-        for address in self._choose_peers():
-            self._transport.sendto(data, (address, ctx.cfg.peer_port))
+        found = ctx.evidence.of_services(ctx.services_on_trial())
+        results = [(*key, *item) for key, item in found.items()]
+        reverted = [item for item in ctx.rollouts.values() if item.state == "reverted"]
+        vetoes = ctx.evidence.vetoes | {(item.service, item.target) for item in reverted}
+        return News(ctx.cfg.name, loads, spent, results, list(vetoes))
 
     def _choose_peers(self) -> list[str]:
         ctx = self._ctx
--- a/berylrock/daemons/gateway/picture.py
+++ b/berylrock/daemons/gateway/picture.py
@@ -4,7 +4,7 @@
 
 from berylrock.core import errors, message, routing
 from berylrock.daemons.gateway import context, watching
-from berylrock.ops import engineset, freshness, routetable
+from berylrock.ops import engineset, evidence, freshness, routetable
 from berylrock.platform import decoding, names
 
 __all__ = ["Picture"]
@@ -146,6 +146,8 @@
             for engine in engines
         ]
         self._ctx.strikes.add(strikes, freshness.suspended_clock())
+        if peer.name != self._ctx.cfg.name:
+            self._ctx.evidence.take(peer.name, evidence.read_results(peer.evidence))
 
     def expire_peers(self, now: float) -> None:
         """Drop gateways that have not given a heartbeat for long."""
--- /dev/null
+++ b/berylrock/ops/evidence.py
@@ -0,0 +1,80 @@
+"""Pools what all gateways have seen of each version of a service.
+
+Load pattern: a bad version on trial gets a few requests a second, spread over all gateways. None of
+them sees enough to judge by; together they do, after a few bad answers.
+"""
+
+from typing import NamedTuple
+
+from berylrock.ops import staging
+
+__all__ = ["EvidencePool", "VersionKey", "read_results", "write_results"]
+
+
+class VersionKey(NamedTuple):
+    """A version of a service."""
+
+    service: str
+    version: str
+
+
+Found = dict[VersionKey, staging.Evidence]
+Results = dict[str, tuple[int, int, int]]
+
+
+def write_results(found: Found) -> Results:
+    """Counts of answers, failed and slow ones by ``service version``, for a record."""
+    return {
+        f"{key.service} {key.version}": (item.answers, item.errors, item.slow)
+        for key, item in found.items()
+    }
+
+
+def read_results(results: Results) -> Found:
+    """Read what ``write_results`` wrote."""
+    keys = {name: VersionKey(*name.split(" ", 1)) for name in results if " " in name}
+    return {key: staging.Evidence(*results[name]) for name, key in keys.items()}
+
+
+class EvidencePool:
+    """Results of this gateway and the last word of each other one.
+
+    Counts only grow while a roll-out lasts, so of two reports of a gateway the larger is the later
+    one, whichever way it came; a gateway that starts again does not take back what it had seen.
+
+    Attributes:
+      own: What this gateway has seen.
+      vetoes: Versions that were found bad, here or elsewhere.
+    """
+
+    def __init__(self) -> None:
+        self.own: Found = {}
+        self.vetoes: set[VersionKey] = set()
+        self._others: dict[str, Found] = {}
+
+    def note(self, key: VersionKey, result: staging.Evidence) -> None:
+        """Add results of this gateway."""
+        self.own[key] = self.own.get(key, staging.Evidence()).plus(result)
+
+    def take(self, gateway: str, found: Found) -> None:
+        """Take what another gateway has seen in all."""
+        known = self._others.setdefault(gateway, {})
+        for key, evidence in found.items():
+            if evidence.answers >= known.get(key, staging.Evidence()).answers:
+                known[key] = evidence
+
+    def pooled(self, key: VersionKey) -> staging.Evidence:
+        """The sum over all gateways."""
+        total = self.own.get(key, staging.Evidence())
+        for found in self._others.values():
+            total = total.plus(found.get(key, staging.Evidence()))
+        return total
+
+    def of_services(self, services: set[str]) -> Found:
+        """What this gateway has seen of some services' versions."""
+        return {key: item for key, item in self.own.items() if key.service in services}
+
+    def clear(self) -> None:
+        """Begin anew: a new roll-out is judged by what is seen from now on."""
+        self.own.clear()
+        self._others.clear()
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -144,6 +144,13 @@
     And 20 chats are sent one after the other
     Then each chat is whole
 
+  @failure.bad_version @failure.store_down
+  Scenario: A gateway that has lost the store hears from another one that a version is bad
+    Given version "v2" of "models" gets every session of a roll-out
+    When the store becomes silent
+    And another gateway says that version "v2" of "models" is bad
+    Then chats go to other versions than "v2"
+
   Scenario: Entries that cannot be read name no engine
     When entries that cannot be read are written to the store
     And 4 reads are sent one after the other
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -86,6 +86,10 @@
     Given a roll-out whose new version is good while 1 in 20 answers of all versions fails
     Then it completes before its time is over
 
+  Scenario: No gateway sees enough of a version on trial, but all together do
+    Then results of several gateways count together, whichever way they come
+    And a gateway that starts again does not take back what it had seen
+
   Scenario: A session keeps its version through the first half of a roll-out
     Then a session that is under way keeps its version in the first stages
     And every gateway finds the same version for a new session
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -121,6 +121,7 @@
         self.engines = {}
         self.config_version = 1
         self.port, self.ready_port = free_port(self.host), free_port(self.host)
+        self.peer_port = free_port(self.host)
         self.process = None
         self._ids = itertools.count(1)
         self.put("config", "main", config(1))
@@ -136,7 +137,7 @@
                 port=self.port,
                 ready=self.ready_port,
                 store=self.store.port,
-                peers=free_port(self.host),
+                peers=self.peer_port,
                 revoke_ms=revoke_ms,
                 grace_s=grace_s,
             )
