Let one gateway ask the store for all, the others go by its word

Change: load news say how fresh a gateway's view of each kind is, by a digest, the age of its last confirmation and the receiver's own mark, so that time under way or in a suspended VM counts. Engines are watched as before, since each gateway must notice an outage by itself. Connections to the store are dropped together when one times out. Ruled out: long waits on engines (a follower would take entries that lapse in an outage for gone). Tests: freshness by word of mouth is never better than true, marks of an earlier process, a missed change; and three gateways, one with silent connections: it fails without the comparison.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -1,5 +1,6 @@
 """What all parts of a gateway share."""
 
+import asyncio
 import random
 import time
 
@@ -15,8 +16,9 @@
     speeds,
     staging,
     strikes,
+    views,
 )
-from berylrock.platform import store
+from berylrock.platform import names, store
 
 __all__ = ["Context"]
 
@@ -38,7 +40,7 @@
       store: The platform's store.
       rng: Random numbers for jitter and ties.
       table: Look-ups in the configuration in force; None before the first.
-      fresh: How old the knowledge of the configuration is.
+      views: What the store holds of each kind, and how fresh that is.
       engines: The engines.
       rollouts: Roll-outs by service.
       evidence: Results of versions, and those that were found bad.
@@ -67,7 +69,7 @@
         self.store = store.Store(cfg.store)
         self.rng = random.Random()
         self.table: routetable.RouteTable | None = None
-        self.fresh = freshness.Freshness()
+        self.views = {kind: views.View() for kind in names.WATCHED_KINDS}
         self.engines = engineset.EngineSet()
         self.engines_known = False
         self.rollouts: dict[str, routing.Rollout] = {}
@@ -82,6 +84,11 @@
         self.stopping = False
         self.idle_limit_s = 0.0
 
+    @property
+    def fresh(self) -> freshness.Freshness:
+        """How old the knowledge of the configuration is."""
+        return self.views[names.CONFIG_KIND].fresh
+
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -104,6 +111,11 @@
                 refused=refused,
             )
 
+    def rank(self) -> int:
+        """This gateway's place among those that are heard, from 0."""
+        heard = self.loads.heard(asyncio.get_running_loop().time())
+        return sum(name < self.cfg.name for name in heard)
+
     def gateways(self) -> int:
         """Gateways that may be sending, this one included."""
         return max(1, len(self.peers) + (self.cfg.name not in self.peers))
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -1,16 +1,16 @@
 """Tells the other gateways by datagrams what changes each second, and hears theirs.
 
-That is what runs at each engine, what was repeated, and what versions on trial have shown.
-A datagram that is lost costs nothing: the next one replaces it.
+That is what runs at each engine, what was repeated, what versions on trial have shown, and how
+fresh the view of the store is. A datagram that is lost costs nothing: the next one replaces it.
 """
 
 import asyncio
 
 import msgspec
 
-from berylrock.core import errors
+from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
-from berylrock.ops import budget, evidence, loadview, staging
+from berylrock.ops import budget, evidence, freshness, loadview, staging, views
 
 __all__ = ["Gossip"]
 
@@ -19,6 +19,7 @@
 FANOUT = 32
 MAX_DATAGRAM_BYTES = 1400
 MS_PER_S = 1000.0
+NO_MARK = views.Mark(0, 0)
 
 
 class News(msgspec.Struct, array_like=True):
@@ -30,6 +31,9 @@
       spent: Service, requests and repeats in the window of the retry budget.
       results: Service, version, answers, failed and slow ones, for roll-outs under way.
       vetoes: Service and version of those that were found bad.
+      mark: When this was sent.
+      repeated: The receiver's mark that was heard last.
+      words: The view of each watched kind, in the order of their names.
     """
 
     gateway: str
@@ -37,6 +41,9 @@
     spent: list[tuple[str, int, int]]
     results: list[tuple[str, str, int, int, int]] = []
     vetoes: list[tuple[str, str]] = []
+    mark: views.Mark = NO_MARK
+    repeated: views.Mark = NO_MARK
+    words: list[views.Word] = []
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -45,7 +52,8 @@
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
         self._transport: asyncio.DatagramTransport | None = None
-        self._was_busy = False
+        self._process = ctx.rng.getrandbits(32)
+        self._marks: dict[str, views.Mark] = {}
 
     async def start(self) -> None:
         """Listen for the others; raises ``SettingsError`` if the port is taken."""
@@ -66,6 +74,7 @@
             return
         now = asyncio.get_running_loop().time()
         self._take_findings(news)
+        self._take_words(news)
         loads = tuple(
             loadview.EngineLoad(name, count, work, now - quiet_ms / MS_PER_S)
             for name, count, work, quiet_ms in news.loads
@@ -88,24 +97,36 @@
                     "version_vetoed", service=key.service, target=key.version, by=news.gateway
                 )
 
+    def _take_words(self, news: News) -> None:
+        """Take how fresh the other gateway's view of the store is."""
+        self._marks[news.gateway] = news.mark
+        now = freshness.suspended_clock()
+        sent_at = views.find_sent_at(self._mark(), news.repeated)
+        if sent_at is None:
+            return
+        for kind, word in zip(sorted(self._ctx.views), news.words, strict=False):
+            self._ctx.views[kind].hear(word, sent_at, now)
+
+    def _mark(self) -> views.Mark:
+        return views.Mark(self._process, int(freshness.suspended_clock() * MS_PER_S))
+
     def error_received(self, exc: Exception) -> None:
         """A peer is not there; its record in the store will go."""
         self._ctx.meter.count("gossip_undelivered")
 
     def tell(self) -> None:
-        """Tell the other gateways, unless there is nothing to tell and they know it."""
-        news = self._make()
-        busy = bool(news.loads or news.results)
-        if self._transport is None or not (busy or self._was_busy):
+        """Tell the other gateways."""
+        peers = self._choose_peers()
+        if self._transport is None or not peers:
             return
-        self._was_busy = busy
-        data = msgspec.msgpack.encode(news)
-        if len(data) > MAX_DATAGRAM_BYTES:
+        news = self._make()
+        if len(msgspec.msgpack.encode(news)) > MAX_DATAGRAM_BYTES:
             news.loads.sort(key=lambda item: -item[2])
             del news.loads[len(news.loads) // 2 :]
+        for peer in peers:
+            news.repeated = self._marks.get(peer.name, NO_MARK)
             data = msgspec.msgpack.encode(news)
-        for address in self._choose_peers():
-            self._transport.sendto(data, (address, self._ctx.cfg.peer_port))
+            self._transport.sendto(data, (peer.address, self._ctx.cfg.peer_port))
 
     def _make(self) -> News:
         """What there is to tell."""
@@ -127,14 +148,22 @@
         results = [(*key, *item) for key, item in found.items()]
         reverted = [item for item in ctx.rollouts.values() if item.state == "reverted"]
         vetoes = ctx.evidence.vetoes | {(item.service, item.target) for item in reverted}
-        return News(ctx.cfg.name, loads, spent, results, list(vetoes))
+        clock = freshness.suspended_clock()
+        words = [ctx.views[kind].say(clock) for kind in sorted(ctx.views)]
+        return News(
+            ctx.cfg.name,
+            loads,
+            spent,
+            results,
+            list(vetoes),
+            mark=self._mark(),
+            words=words,
+        )
 
-    def _choose_peers(self) -> list[str]:
+    def _choose_peers(self) -> list[routing.Peer]:
         ctx = self._ctx
         found = [
-            peer.address
-            for name, (peer, _) in ctx.peers.items()
-            if name != ctx.cfg.name and peer.address
+            peer for name, (peer, _) in ctx.peers.items() if name != ctx.cfg.name and peer.address
         ]
         return found if len(found) <= FANOUT else ctx.rng.sample(found, FANOUT)
 
--- a/berylrock/daemons/gateway/picture.py
+++ b/berylrock/daemons/gateway/picture.py
@@ -11,10 +11,10 @@
 
 # A connection that goes silent is noticed soon enough to keep the bounds on configurations and on
 # engines that leave, which begin anew when connections fail.
-# The configuration has to be confirmed more often: its age decides whether keys are still good.
-CONFIG_WAIT_S = 1.2
 ENGINES_WAIT_S = 2.0
 ORDERS_WAIT_S = 3.5
+# While the gateways hear each other, one of them notices for all.
+SHARED_WAIT_S = 8.0
 GATHER_S = 0.25
 PEER_LIFE_S = 24.0
 
@@ -25,18 +25,20 @@
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
 
-    def watches(self) -> tuple[watching.KindWatch, ...]:
-        """What to watch."""
-        return (
-            watching.KindWatch(
-                names.CONFIG_KIND, CONFIG_WAIT_S, GATHER_S, self._take_config, self._ctx.fresh.note
-            ),
-            watching.KindWatch(names.ENGINES_KIND, ENGINES_WAIT_S, GATHER_S, self._take_engines),
-            watching.KindWatch(names.ROLLOUTS_KIND, ORDERS_WAIT_S, GATHER_S, self._take_rollouts),
-            watching.KindWatch(
-                names.EVACUATIONS_KIND, ORDERS_WAIT_S, GATHER_S, self._take_evacuations
-            ),
+    def watches(self) -> dict[str, watching.KindWatch]:
+        """What to watch, by kind."""
+        orders_s, shared_s = ORDERS_WAIT_S, SHARED_WAIT_S
+        # Each gateway finds out for itself about outages, in which entries of engines lapse.
+        found = (
+            (names.CONFIG_KIND, orders_s, shared_s, self._take_config),
+            (names.ENGINES_KIND, ENGINES_WAIT_S, ENGINES_WAIT_S, self._take_engines),
+            (names.ROLLOUTS_KIND, orders_s, shared_s, self._take_rollouts),
+            (names.EVACUATIONS_KIND, orders_s, shared_s, self._take_evacuations),
         )
+        return {
+            kind: watching.KindWatch(kind, wait_s, shared_s, GATHER_S, take)
+            for kind, wait_s, shared_s, take in found
+        }
 
     def _take_config(self, listing: decoding.Listing, whole: bool) -> None:
         objects = listing.objects if whole else tuple(item.stored for item in listing.events)
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -8,6 +8,7 @@
 from berylrock.daemons import stopping
 from berylrock.daemons.gateway import (
     callers,
+    confirming,
     context,
     control,
     gossip,
@@ -17,7 +18,7 @@
     watching,
 )
 from berylrock.ops import freshness
-from berylrock.platform import settings
+from berylrock.platform import names, settings
 
 __all__ = ["METRICS_PORT", "run"]
 
@@ -91,13 +92,18 @@
         age = self._ctx.fresh.age(freshness.suspended_clock())
         counts.append(f"config_age_s {age:.3f}")
         counts.append(f"store_calls {self._ctx.store.calls}")
+        heard = self._ctx.loads.heard(asyncio.get_running_loop().time())
+        counts.append(f"gateways_heard {len(heard)}")
         counts.append(f"engine_connections_opened {self._conns.opened}")
         return pages.Page(200, "\n".join(counts + self._ctx.times.render()) + "\n")
 
     def _subscribe(self) -> None:
         clock = self._ctx.timer
-        for what in self._picture.watches():
+        watches = self._picture.watches()
+        for what in watches.values():
             clock.spawn(watching.Watcher(self._ctx, what).run())
+        confirmer = confirming.Confirmer(self._ctx, watches[names.CONFIG_KIND])
+        clock.every(confirming.LOOK_S, confirmer.tend)
         clock.every(SWEEP_S, self._sweep)
         clock.every(RECORD_S, self._record.tend)
         clock.every(PEERS_S, self._picture.read_peers)
--- a/berylrock/daemons/gateway/watching.py
+++ b/berylrock/daemons/gateway/watching.py
@@ -9,10 +9,11 @@
 from berylrock.ops import freshness
 from berylrock.platform import decoding, store
 
-__all__ = ["KindWatch", "Watcher"]
+__all__ = ["KindWatch", "Watcher", "take"]
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+LOOK_S = 0.2
 
 
 class KindWatch(NamedTuple):
@@ -21,17 +22,29 @@
     Attributes:
       kind: The kind.
       wait_s: Longest wait of one call; also how soon a silent connection is noticed.
+      shared_wait_s: The same while another gateway would tell that a change was missed.
       gather_s: Pause after a change, so that one call brings those that follow it.
       take: Takes a whole list (True) or changes (False).
-      confirmed: Takes when a call was sent that confirmed the picture, and for how long it waited
-        without a change; None if nobody asks.
     """
 
     kind: str
     wait_s: float
+    shared_wait_s: float
     gather_s: float
     take: Callable[[decoding.Listing, bool], None]
-    confirmed: Callable[[float, float], None] | None = None
+
+
+def take(ctx: context.Context, what: KindWatch, listing: decoding.Listing, whole: bool) -> None:
+    """Take a list (``whole``) or changes of a kind into the gateway's state."""
+    view = ctx.views[what.kind]
+    if whole:
+        view.replace({item.name: item.revision for item in listing.objects})
+    else:
+        kept = {item.stored.name: item.stored.revision for item in listing.events}
+        gone = {item.stored.name for item in listing.events if item.deleted}
+        last = {item.stored.name: item.deleted for item in listing.events}
+        view.change(kept, {name for name in gone if last[name]})
+    what.take(listing, whole)
 
 
 class Watcher:
@@ -40,6 +53,7 @@
     def __init__(self, ctx: context.Context, what: KindWatch) -> None:
         self._ctx = ctx
         self._what = what
+        self._view = ctx.views[what.kind]
         self._revision: int | None = None
         self._pause_s = FIRST_PAUSE_S
         self._lost = False
@@ -57,25 +71,54 @@
             except (errors.StoreUnavailable, errors.NotFound, errors.Conflict) as exc:
                 await self._note_lost(exc)
                 continue
-            self._note_answer(sent_at, quiet_s)
+            if quiet_s is not None:
+                self._note_answer(sent_at, quiet_s)
+
+    async def _step(self) -> float | None:
+        """Make one call.
 
-    async def _step(self) -> float:
-        """Make one call; returns for how long the store waited without a change."""
+        Returns:
+          For how long the store waited without a change; None if the call was given up.
+        """
         what = self._what
-        quiet_s = 0.0
         if self._revision is None:
             listing = await self._ctx.store.list(what.kind)
-            what.take(listing, True)
-        else:
-            listing = await self._ctx.store.watch(what.kind, self._revision, what.wait_s)
-            if listing.events:
-                what.take(listing, False)
-                # Changes mostly come in bursts; what follows soon is taken with the next call.
-                await asyncio.sleep(what.gather_s)
-            else:
-                quiet_s = what.wait_s
-        self._revision = listing.revision
-        return quiet_s
+            take(self._ctx, what, listing, True)
+            self._revision = listing.revision
+            return 0.0
+        wait_s = self._wait_s()
+        found = await self._watch(self._revision, wait_s)
+        if found is None:
+            return None
+        self._revision = found.revision
+        if not found.events:
+            return wait_s
+        take(self._ctx, what, found, False)
+        # Changes mostly come in bursts; what follows soon is taken with the next call.
+        await asyncio.sleep(what.gather_s)
+        return 0.0
+
+    def _wait_s(self) -> float:
+        """One gateway asks often for all; the others wait long."""
+        return self._what.wait_s if self._ctx.rank() == 0 else self._what.shared_wait_s
+
+    async def _watch(self, revision: int, wait_s: float) -> decoding.Listing | None:
+        """Watch; None if the call has to be made anew."""
+        now = asyncio.get_running_loop().time
+        begun = now()
+        call = asyncio.create_task(self._ctx.store.watch(self._what.kind, revision, wait_s))
+        try:
+            while not (await asyncio.wait((call,), timeout=LOOK_S))[0]:
+                elapsed_s = now() - begun
+                if self._view.is_behind(freshness.suspended_clock()):
+                    self._view.forget_behind()
+                    self._ctx.log.write("change_missed", kind=self._what.kind)
+                    return None
+                if wait_s > self._wait_s() and elapsed_s > self._wait_s():
+                    return None
+            return call.result()
+        finally:
+            call.cancel()
 
     def _note_answer(self, sent_at: float, quiet_s: float) -> None:
         if self._lost:
@@ -83,9 +126,8 @@
             self._ctx.log.write("store_regained", kind=self._what.kind)
         self._pause_s = FIRST_PAUSE_S
         self._ctx.engines.note_store_back(asyncio.get_running_loop().time())
-        if self._what.confirmed is not None:
-            elapsed_s = freshness.suspended_clock() - sent_at
-            self._what.confirmed(sent_at, min(quiet_s, elapsed_s))
+        elapsed_s = freshness.suspended_clock() - sent_at
+        self._view.fresh.note(sent_at, min(quiet_s, elapsed_s))
 
     async def _note_lost(self, exc: Exception) -> None:
         if not self._lost:
--- a/berylrock/ops/loadview.py
+++ b/berylrock/ops/loadview.py
@@ -73,6 +73,10 @@
                 heard_at = max(heard_at, load.heard_at)
         return EngineLoad(engine_id, running, work, heard_at)
 
+    def heard(self, now: float) -> list[str]:
+        """The gateways that were heard a moment ago."""
+        return [name for name, news in self._heard.items() if now - news.at < KEPT_S]
+
     def expire(self, now: float) -> None:
         """Forget gateways that are silent."""
         self._heard = {name: item for name, item in self._heard.items() if now - item.at < KEPT_S}
--- a/berylrock/platform/names.py
+++ b/berylrock/platform/names.py
@@ -64,6 +64,7 @@
 ENGINES_KIND = "servers"
 ROLLOUTS_KIND = "rollouts"
 EVACUATIONS_KIND = "evacuations"
+WATCHED_KINDS = (CONFIG_KIND, ENGINES_KIND, ROLLOUTS_KIND, EVACUATIONS_KIND)
 # A kind of the system's own: one object a gateway.
 PEERS_KIND = "gateways"
 
--- a/berylrock/platform/store.py
+++ b/berylrock/platform/store.py
@@ -122,6 +122,8 @@
             async with asyncio.timeout(limit_s):
                 status, answer = await self._attempt(method, target, body)
         except (TimeoutError, http1.ConnectFailed, http1.AnswerBroken) as exc:
+            # Other connections that were open may have gone silent or broken with this one.
+            self.close()
             text = f"no answer to {method} {target}: {exc}; tried again by itself"
             raise errors.StoreUnavailable(text) from exc
         if status in (OK, CREATED):
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -151,6 +151,12 @@
     And another gateway says that version "v2" of "models" is bad
     Then chats go to other versions than "v2"
 
+  @failure.silent @promise.zone_out
+  Scenario: A gateway whose connections have gone silent hears of a change from another one
+    Given three gateways, of which one's connections to the store have gone silent
+    When the operator takes out the zone of all engines but "plain-0"
+    Then within 5 s the silenced gateway sends reads to "plain-0" only
+
   Scenario: Entries that cannot be read name no engine
     When entries that cannot be read are written to the store
     And 4 reads are sent one after the other
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -90,6 +90,11 @@
     Then results of several gateways count together, whichever way they come
     And a gateway that starts again does not take back what it had seen
 
+  Scenario: One gateway asks the store, the others go by its word
+    Then a view like another gateway's is as fresh as that one can be at the oldest
+    And a mark of an earlier process or of an earlier start of the VM says nothing
+    And a view that differs from a fresher one for long has missed a change
+
   Scenario: A session keeps its version through the first half of a roll-out
     Then a session that is under way keeps its version in the first stages
     And every gateway finds the same version for a new session
--- a/features/steps/gateway_news_steps.py
+++ b/features/steps/gateway_news_steps.py
@@ -1,15 +1,19 @@
 """Steps on what gateways tell each other by datagrams."""
 
+import re
 import socket
+import time
 
 import msgspec
 from behave import given, then, when
+from support.platform import soakfleet
 
 from berylrock.daemons.gateway import gossip
-from berylrock.ops import evidence, staging
+from berylrock.ops import evidence, staging, views
 
 KEY = evidence.VersionKey("models", "v2")
 CHATS = 6
+LONG_WATCH = re.compile(rb"evacuations\?watch=.*wait-ms=8000")
 
 
 @given('version "{version}" of "{service}" gets every session of a roll-out')
@@ -65,3 +69,82 @@
     assert pool.pooled(KEY) == staging.Evidence(4, 2, 1)
     pool.clear()
     assert pool.pooled(KEY) == staging.Evidence()
+
+
+def make_view(revisions, confirmed_at):
+    """A view with these revisions, confirmed at a time."""
+    view = views.View()
+    view.replace(revisions)
+    view.fresh.note(confirmed_at)
+    return view
+
+
+@then("a view like another gateway's is as fresh as that one can be at the oldest")
+def step_confirmed(context):
+    """The datagram was under way, or in a suspended VM, for some unknown time."""
+    mine, other = make_view({"a": 1}, 2.0), make_view({"a": 1}, 9.0)
+    sent_at = views.find_sent_at(views.Mark(7, 30_000), views.Mark(7, 10_000))
+    mine.hear(other.say(9.5), sent_at, 30.0)
+    assert 20.5 <= mine.fresh.age(30.0) < 20.6, mine.fresh.age(30.0)
+
+
+@then("a mark of an earlier process or of an earlier start of the VM says nothing")
+def step_marks(context):
+    """Its clock was another one."""
+    assert views.find_sent_at(views.Mark(7, 30_000), views.Mark(8, 10_000)) is None
+    assert views.find_sent_at(views.Mark(7, 30_000), views.Mark(7, 40_000)) is None
+
+
+@then("a view that differs from a fresher one for long has missed a change")
+def step_behind(context):
+    """At once it is merely under way; an older view says nothing."""
+    mine, older = make_view({"a": 1}, 5.0), make_view({"a": 0}, 1.0)
+    mine.hear(older.say(6.0), 6.0, 6.0)
+    assert not mine.is_behind(60.0)
+    mine.hear(make_view({"a": 2}, 6.0).say(6.0), 6.0, 6.2)
+    assert not mine.is_behind(6.3) and mine.is_behind(7.0)
+    assert mine.fresh.age(7.0) == 2.0
+    mine.change({"a": 2}, set())
+    assert not mine.is_behind(60.0)
+
+
+@given("three gateways, of which one's connections to the store have gone silent")
+def step_three(context):
+    """The last by name, so that another one asks the store for all."""
+    context.gateway.stop()
+    running = soakfleet.SoakFleet(context.root)
+    context.cleanups.append(running.stop)
+    running.start_all()
+    running.wait(lambda: knows_others(running), "the gateways know each other")
+    path = running.store_proxies["entry-3"]
+    path.heads.clear()
+    running.wait(lambda: any(LONG_WATCH.search(head) for head in path.heads), "a long watch")
+    path.silence_open()
+    context.gateway = running
+
+
+def knows_others(running):
+    """Whether each gateway has been heard by the last one, by its own metrics."""
+    page = running.get_page_of("entry-3", "/metrics")
+    return b"gateways_heard 2" in page
+
+
+@when('the operator takes out the zone of all engines but "{name}"')
+def step_out(context, name):
+    """Its entry names another zone."""
+    context.gateway.add_engine(name, name.partition("-")[0], zone="giarre-d")
+    context.gateway.put("evacuations", "etna-a", {})
+    context.begun = time.monotonic()
+
+
+@then('within {seconds:g} s the silenced gateway sends reads to "{name}" only')
+def step_only(context, seconds, name):
+    """By the operators' bound."""
+    running = context.gateway
+    while time.monotonic() < context.begun + seconds:
+        time.sleep(0.05)
+    before = len(running.runs("plain")) - len(running.engines[name].runs)
+    item = running.gateways["entry-3"]
+    for _ in range(30):
+        assert running.thread.run(running.send_to(item)).status == 200
+    assert len(running.runs("plain")) - len(running.engines[name].runs) == before
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -61,6 +61,11 @@
         return [int(line.removeprefix("id: ")) for line in lines if line.startswith("id: ")]
 
 
+def new_host():
+    """A loopback address that no other fleet of this or another test process has."""
+    return f"127.0.{os.getpid() % 200 + 1}.{next(_hosts)}"
+
+
 def free_port(host):
     """A port that nobody listens on."""
     with socket.socket() as sock:
@@ -158,7 +163,7 @@
 
     def __init__(self, root, plain=2, models=2, revoke_ms=5000, grace_s=4, page=500):
         self.root = pathlib.Path(root)
-        self.host = f"127.0.{os.getpid() % 200 + 1}.{next(_hosts)}"
+        self.host = new_host()
         self.thread = loop.LoopThread()
         self.store = store.StandInStore()
         self.store.page = page
--- a/features/support/platform/proxy.py
+++ b/features/support/platform/proxy.py
@@ -14,12 +14,14 @@
       delay_s: Added to each chunk.
       blocked: Directions (``up`` to the target, ``down`` from it) in which bytes are held for now.
       refusing: New connections are reset.
+      heads: First lines of the chunks that went up.
     """
 
     def __init__(self, target_port):
         self.delay_s = 0.0
         self.blocked = set()
         self.refusing = False
+        self.heads = []
         self.port = 0
         self._target_port = target_port
         self._server = None
@@ -71,6 +73,8 @@
 
     async def _pump(self, reader, writer, way):
         while data := await reader.read(CHUNK_BYTES):
+            if way == UP:
+                self.heads.append(data.partition(b"\r\n")[0])
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             while way in self.blocked or writer in self._silent:
--- a/features/support/platform/soakfleet.py
+++ b/features/support/platform/soakfleet.py
@@ -8,6 +8,7 @@
 from . import fleet, proxy
 
 GATEWAYS = 3
+METRICS_PORT = 9464
 REVOKE_MS, GRACE_S = 5000, 5
 
 
@@ -27,7 +28,7 @@
         path = proxy.Proxy(self.store.port)
         self.thread.run(path.start())
         self.store_proxies[name] = path
-        host = f"{self.host}{len(self.gateways)}"
+        host = fleet.new_host()
         self.gateways[name] = fleet.GatewayProcess(
             self.root, name, host, path.port, REVOKE_MS, GRACE_S, self.peer_port
         )
@@ -54,6 +55,18 @@
         )
         return self.thread.run(request).status
 
+    def get_page_of(self, name, path):
+        """A page on a gateway's metrics address."""
+        item = self.gateways[name]
+        request = fleet.exchange((item.host, METRICS_PORT), "GET", path, [("Host", "x")], b"")
+        return self.thread.run(request).body
+
+    def send_to(self, item):
+        """The coroutine of a read at one gateway."""
+        lines = [("Host", fleet.HOST), ("X-Api-Key", fleet.KEY)]
+        lines.append(("X-Berylrock-Attempt-Id", f"{next(self.keys):016x}"))
+        return fleet.exchange((item.host, item.port), "GET", "/read/a", lines, b"")
+
     def wait_ready(self):
         """Wait until every gateway says that it is ready."""
         for name in self.gateways:
