Cut what outlasts the grace time in order, and say so

Change: the gateway ends those connections itself and writes how many. Test: a read of 30 s, a grace time of 3 s; without the change the log has a traceback and no line.

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -25,7 +25,7 @@
     """The callers' side of the gateway."""
 
     def __init__(self, ctx: context.Context, conns: pool.Pool) -> None:
-        self._open = 0
+        self._open: set[asyncio.Task[None]] = set()
         self._ctx = ctx
         self._conns = conns
         self._idle: set[asyncio.Task[None]] = set()
@@ -53,19 +53,35 @@
             await asyncio.sleep(DRAIN_CHECK_S)
         if self._server is not None:
             self._server.close()
+        await self._cut_open()
+
+    async def _cut_open(self) -> None:
+        """End what has not ended within the grace time; its callers see a closed connection."""
+        tasks = list(self._open)
+        if not tasks:
+            return
+        self._ctx.log.write("callers_cut", connections=len(tasks))
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=DRAIN_CHECK_S)
 
     async def _serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         table = self._ctx.table
         limits = table.config.limits if table is not None else routing.Limits()
         link = http1.CallerLink(stream, writer, limits.header_bytes)
-        self._open += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._open.add(task)
         try:
             await self._serve_link(link)
+        except asyncio.CancelledError:
+            # Only a planned stop cancels a connection's task.
+            link.abort()
         except (OSError, h11.LocalProtocolError) as exc:
             self._ctx.log.write("caller_lost", error=repr(exc))
         finally:
             await link.close()
-            self._open -= 1
+            self._open.discard(task)
 
     async def _serve_link(self, link: http1.CallerLink) -> None:
         while True:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -179,6 +179,14 @@
     And the gateway says at once that it is not ready
     And it ends by itself within the grace time
 
+  @promise.shutdown
+  Scenario: What does not end within the grace time is cut, and the log says so
+    Given a gateway with a grace time of 3 s
+    And each read takes 30 s
+    When SIGTERM comes while a read is running
+    Then its caller gets no answer
+    And the gateway has ended with success and said what it cut
+
   @promise.shutdown
   Scenario: A read that comes as idle connections are closed is answered
     Given each read takes 0.3 s
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -6,7 +6,7 @@
 
 import h11
 from behave import given, then, when
-from support.platform import fleet
+from support.platform import fleet, scenario
 
 from berylrock.adapters import http1
 
@@ -97,3 +97,34 @@
 def step_answered(context):
     """Its connection was not closed under it."""
     assert context.gateway.thread.run(read_answer(context.link)) == 200
+
+
+@given("a gateway with a grace time of {seconds:d} s")
+def step_grace(context, seconds):
+    """Start again with another setting."""
+    scenario.start(context, grace_s=seconds)
+
+
+@when("SIGTERM comes while a read is running")
+def step_term_running(context):
+    """It runs longer than the grace time."""
+    gateway = context.gateway
+    coro = gateway.send_later(path="/read/long")
+    fut = asyncio.run_coroutine_threadsafe(coro, gateway.thread.loop)
+    gateway.wait(lambda: gateway.runs("plain"), "the read runs")
+    gateway.signal(signal.SIGTERM)
+    context.result = fut.result(10)
+
+
+@then("its caller gets no answer")
+def step_no_answer(context):
+    """The connection is closed; nothing is promised."""
+    assert not context.result.whole, context.result
+
+
+@then("the gateway has ended with success and said what it cut")
+def step_said(context):
+    """One line, and no traceback."""
+    assert context.gateway.process.wait(5) == 0
+    log = context.gateway.log()
+    assert "event=callers_cut connections=1" in log and "Traceback" not in log, log[-2000:]
