--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint demo bench soak clean
+.PHONY: test lint demo bench soak soak-gateway soak-mutants clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,13 @@
 bench: $(STAMP)
 	$(VENV)/bin/berylrock bench
 
+SEEDS ?= 1-5
+soak-gateway: $(STAMP)
+	PYTHONPATH=features $(VENV)/bin/python -m support.platform.soak --seeds $(SEEDS)
+
+soak-mutants: $(STAMP)
+	PYTHONPATH=features $(VENV)/bin/python -m support.platform.soakmutants
+
 SEED ?= 1
 SECONDS ?= 30
 DEPLOYMENT ?= ferrante
--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -234,7 +234,9 @@
         return quiet and self._conn.our_state is h11.IDLE
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Send a request.
+        """Hand a request to the connection; it is sent while the answer is awaited.
+
+        The peer may answer before it has read a long body, or never read it.
 
         Raises:
           AnswerBroken: The connection broke; some of it may have arrived.
@@ -245,7 +247,6 @@
         data += self._conn.send(h11.EndOfMessage()) or b""
         try:
             self._writer.write(data)
-            await self._writer.drain()
         except OSError as exc:
             raise AnswerBroken(f"broke while the request was sent: {exc!r}") from exc
 
--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -140,6 +140,8 @@
         self, link: http1.CallerLink, head: routing.RequestHead, limits: routing.Limits
     ) -> bool:
         out = answering.Responder(link, head.id, self._closing or self._ctx.stopping)
+        # A caller's time runs while its body is on the way.
+        received_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 body = await self._read_body(link, limits.body_bytes)
@@ -151,7 +153,6 @@
             return False
         if len(body) > limits.body_bytes:
             return await self._reject(link, 413, "body is too large")
-        received_at = asyncio.get_running_loop().time()
         await self._answer(link, head, body, received_at, out)
         if out.closes or not out.begun:
             return False
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,6 +1,7 @@
 """Steps that send requests through a gateway process between stand-ins."""
 
 import asyncio
+import re
 import time
 
 from behave import given, then, when
@@ -19,6 +20,7 @@
     ("X-Berylrock-Tenant", "theirs"),
     ("X-Berylrock-Target-Instance", "theirs"),
 ]
+ENDS = re.compile("event=request_(done|refused)")
 BAD_REQUESTS = {
     "both lengths": b"POST /read/a HTTP/1.1\r\nHost: calls.example\r\nContent-Length: 3\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -346,7 +348,7 @@
     gateway.send("POST", "/order/a", body=b"order")
     gateway.send(key="nobody")
     gateway.chat()
-    gateway.wait(lambda: gateway.log().count("event=request_") >= 3, "three ends in the log")
+    gateway.wait(lambda: len(ENDS.findall(gateway.log())) == 3, "three ends in the log")
 
 
 @then("the log alone explains each of them")
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -228,17 +228,22 @@
 )
 
 
+def apply(mutant: Mutant, folder: pathlib.Path) -> None:
+    """Take a mechanism out of a copy of the sources."""
+    for edit in mutant.edits:
+        path = folder / "berylrock" / edit.file
+        text = path.read_text(encoding="utf-8")
+        if edit.old not in text:
+            raise SystemExit(f"{mutant.name}: its text is no longer in {edit.file}")
+        path.write_text(text.replace(edit.old, edit.new), encoding="utf-8")
+
+
 def is_noticed(mutant: Mutant) -> bool:
     """Run the mutant's scenario in a scratch copy; tells whether it failed."""
     with tempfile.TemporaryDirectory(prefix="mutant-") as folder:
         for name in COPIED:
             shutil.copytree(name, pathlib.Path(folder) / name)
-        for edit in mutant.edits:
-            path = pathlib.Path(folder) / "berylrock" / edit.file
-            text = path.read_text(encoding="utf-8")
-            if edit.old not in text:
-                raise SystemExit(f"{mutant.name}: its text is no longer in {edit.file}")
-            path.write_text(text.replace(edit.old, edit.new), encoding="utf-8")
+        apply(mutant, pathlib.Path(folder))
         command = [sys.executable, "-m", "behave", "-f", "null", "features", "-n", mutant.scenario]
         env = {**os.environ, "PYTHONPATH": folder}
         done = subprocess.run(command, cwd=folder, env=env, capture_output=True, check=False)
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -28,7 +28,7 @@
     Faults: ``full`` (503, not run), ``error`` (500, run), ``reset`` (run, no answer), ``silent``,
     ``cut N`` (a stream broken off within event N), ``unframed``, ``extra`` (a second answer),
     ``stranger`` (another request's id), ``unsigned``, ``encoded``, ``short`` (body cut off),
-    ``garbage``.
+    ``garbage``, ``early`` (answered before the body was read), ``stuck`` (the body is never read).
     """
 
     def __init__(self, engine_id):
@@ -66,10 +66,10 @@
         event = await link.next_event()
         if not isinstance(event, h11.Request):
             return False
-        body = b""
-        while not isinstance(part := await link.next_event(), h11.EndOfMessage):
-            body += part.data
-        run = Run(event.method.decode(), event.target.decode(), event.headers, body)
+        run = Run(event.method.decode(), event.target.decode(), event.headers, b"")
+        if self.faults and self.faults[0] in ("early", "stuck"):
+            return await self._answer_unread(link, writer, run, self.faults.pop(0))
+        run.body = await self._read_body(link)
         if run.headers.get("x-berylrock-target-instance", self.id) != self.id:
             return await self._whole(link, 421, [], b"")
         fault = self.faults.pop(0) if self.faults else ""
@@ -86,6 +86,28 @@
             run.cancelled = True
             raise
 
+    @staticmethod
+    async def _read_body(link):
+        body = b""
+        while not isinstance(part := await link.next_event(), h11.EndOfMessage):
+            body += part.data
+        return body
+
+    async def _answer_unread(self, link, writer, run, fault):
+        """Answer before the body is read, and read on later; or do neither (``stuck``)."""
+        self.runs.append(run)
+        writer.transport.pause_reading()
+        if fault == "stuck":
+            await asyncio.sleep(STUCK_S)
+            return False
+        headers = [("X-Berylrock-Attempt-Id", run.headers[ID])]
+        headers.append(("X-Berylrock-Response-Signature", f"sig-{self.id}"))
+        again = await self._whole(link, 200, headers, f"{self.id} early".encode())
+        await asyncio.sleep(READ_ON_S)
+        writer.transport.resume_reading()
+        run.body = await self._read_body(link)
+        return again or link.reusable
+
     async def _crash(self, link):
         """End like a process that crashed, and come back at the same address."""
         self.server.close()
@@ -180,3 +202,4 @@
 
 ID = "x-berylrock-attempt-id"
 DOWN_S = 0.4
+READ_ON_S, STUCK_S = 0.3, 30.0
--- a/features/support/platform/soak.py
+++ b/features/support/platform/soak.py
@@ -136,6 +136,7 @@
     parser.add_argument("--seeds", default="1-5", help="first and last seed")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--schedule", action="store_true", help="print each schedule")
+    parser.add_argument("--first", action="store_true", help="end after the first breach")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     failed = 0
@@ -150,6 +151,8 @@
             print(f"  logs in {root}")
         failed += bool(breaches)
         sys.stdout.flush()
+        if breaches and args.first:
+            break
     sys.exit(1 if failed else 0)
 
 
--- a/features/support/platform/store.py
+++ b/features/support/platform/store.py
@@ -9,6 +9,7 @@
 from berylrock.adapters import http1
 
 HEADER_BYTES = 65_536
+LATE_S = 1.0
 REFUSALS = {"busy": 503, "limited": 429}
 
 
@@ -16,7 +17,9 @@
     """Holds objects in memory.
 
     ``mode`` is one of: ``up``, ``down`` (resets), ``silent`` (no answer), ``busy`` (503),
-    ``limited`` (429), ``lossy`` (writes are done and not answered).
+    ``limited`` (429), ``lossy`` (writes are done and not answered), ``late`` (writes are not
+    answered, and done a second later if their condition still holds). Lists that may be old are
+    answered as of ``stale_at``, if that is set.
     """
 
     def __init__(self):
@@ -26,7 +29,9 @@
         self.calls = []
         self.forgotten = 0
         self.page = 500
+        self.stale_at = None
         self._events = []
+        self._late = set()
         self._changed = None
         self.server = None
         self.port = 0
@@ -105,6 +110,9 @@
             await asyncio.sleep(3600)
         if self.mode in REFUSALS:
             return await self._answer(link, REFUSALS[self.mode], {"error": self.mode})
+        if self.mode == "late" and method != "GET":
+            self._late.add(asyncio.create_task(self._handle_late(method, target, body)))
+            await asyncio.sleep(3600)
         status, answer = await self._handle(method, target, body)
         if self.mode == "lossy" and method != "GET":
             link.abort()
@@ -114,6 +122,10 @@
             return False
         return await self._answer(link, status, answer)
 
+    async def _handle_late(self, method, target, body):
+        await asyncio.sleep(LATE_S)
+        await self._handle(method, target, body)
+
     async def _answer(self, link, status, answer):
         body = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
         headers = [("content-length", str(len(body))), ("content-type", "application/json")]
@@ -139,6 +151,8 @@
         if len(parts) > 1:
             stored = self.objects.get((parts[0], parts[1]))
             return (200, stored) if stored else (404, {"error": "none"})
+        if "allow-stale" in words and self.stale_at is not None:
+            return 200, {"entries": [], "has-more": False, "at": self.stale_at}
         names = sorted(name for kind, name in self.objects if kind == parts[0])
         names = [name for name in names if name > words.get("after", "")]
         entries = [self.objects[(parts[0], name)] for name in names[: self.page]]
