--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -140,11 +140,11 @@
         status = 500 if fault == "error" else 200
         text = f"{self.id} {run.method} {run.target}".encode()
         if fault == "short":
-            size = str(len(text) + 10)
+            size = str(len(text))
             await link.send(
                 h11.Response(status_code=200, headers=[*headers, ("Content-Length", size)])
             )
-            await link.send(h11.Data(data=text))
+            await link.send(h11.Data(data=text[:-5]))
             link.abort()
             return False
         again = await self._whole(link, status, headers, text)
--- a/features/support/platform/soakfaults.py
+++ b/features/support/platform/soakfaults.py
@@ -8,6 +8,9 @@
 ENGINE_FAULTS = ("error", "reset", "silent", "cut 3", "short", "stranger", "garbage", "full")
 STORE_MODES = ("down", "silent", "busy", "limited", "lossy")
 LONGEST_S = 2.0
+FAULTS_PER_S = (0.5, 2.5)
+# An engine that leaves goes on serving for longer than it may get new work.
+LEAVING_S = 3.0
 # What an end returns that has to be called again.
 AGAIN = "again"
 
@@ -51,14 +54,15 @@
 def make_schedule(rng, seconds):
     """Draw a schedule: faults come in series and overlap."""
     faults, at_s = [], 0.3
+    per_s = rng.uniform(*FAULTS_PER_S)
     while at_s < seconds:
         kind = rng.choice(KINDS)
-        for_s = rng.uniform(0.1, LONGEST_S)
+        for_s = rng.uniform(0.1, LONGEST_S) + (LEAVING_S if kind == "drain" else 0.0)
         faults.append(Fault(at_s, kind, rng.random(), for_s))
         if rng.random() < 0.25:
             again = at_s + rng.uniform(0.05, 1.0)
             faults.append(Fault(again, kind, rng.random(), for_s))
-        at_s += rng.expovariate(2.0)
+        at_s += rng.expovariate(per_s)
     return sorted(faults)
 
 
--- a/features/support/platform/soakjudge.py
+++ b/features/support/platform/soakjudge.py
@@ -72,10 +72,10 @@
         elif call.body != f"{signer} {soakcalls.KINDS[call.kind]} {call.target}".encode():
             self._note("own answer", call.id, f"got {call.body!r}")
 
-    def _disturbed(self, begin, end, gateway=None):
+    def _disturbed(self, begin, end, gateway=None, kinds=UNPLANNED):
         """Whether anything was harmed in a span, at one gateway or at any of them."""
         for mark in self._marks:
-            if mark.what in UNPLANNED and begin <= mark.at <= end:
+            if mark.what in kinds and begin <= mark.at <= end:
                 if gateway is None or mark.name in (gateway, ""):
                     return True
         return False
@@ -103,7 +103,10 @@
                 for name, run in runs:
                     if name != mark.name or not mark.at + DRAIN_S < run.at < back:
                         continue
-                    if not self._disturbed(mark.at - CONTACT_S, run.at):
+                    call = self._calls.get(identity)
+                    gateway = call.gateway if call else None
+                    span = (mark.at - CONTACT_S, run.at)
+                    if not self._disturbed(*span, gateway, ("disturbed", "store")):
                         self._note("drain", identity, f"{name} {run.at - mark.at:.2f} s after")
 
 
