Hold a version bad if none of its streams is quick

Times were logged in a trial copy: all its streams take 0.083 s an event, 3.2 times an idle engine's 0.026. Change: streams within twice the least time of late are quick; a version without a quick one among so many that chance is under 0.005 is bad. Slow shares are compared among answers with a time, by standard deviations. Whole answers of plain services are timed too. Records of other releases stay readable. Tests: none quick against one quick; often slow services, a bad and a good version; 2.5 times the pace.

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -248,7 +248,7 @@
       name: Name of its VM.
       address: Its IP number; empty if not given.
       beat: Grows with each of its heartbeats.
-      evidence: Answers, failed and slow ones by ``service version`` since the roll-out began.
+      evidence: Results by ``service version``, of roll-outs under way.
       suspects: Fingerprints of requests, and the engines that fell while they held them.
       revision: The store's revision of the record.
     """
@@ -256,7 +256,7 @@
     name: str
     address: str
     beat: int
-    evidence: dict[str, tuple[int, int, int]]
+    evidence: dict[str, tuple[int, ...]]
     suspects: dict[str, tuple[str, ...]]
     revision: int
 
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -141,7 +141,6 @@
         """Whether a version was found bad."""
         return evidence.VersionKey(service, version) in self.evidence.vetoes
 
-    def note_result(self, service: str, version: str, failed: bool, slow: bool = False) -> None:
+    def note_result(self, service: str, version: str, result: staging.Evidence) -> None:
         """Take the result of an answer as evidence for or against a version."""
-        result = staging.Evidence(1, int(failed), int(slow and not failed))
         self.evidence.note(evidence.VersionKey(service, version), result)
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -61,8 +61,8 @@
         if record.suspects != written.suspects:
             return True
         return any(
-            errors + slow > sum(written.evidence.get(key, (0, 0, 0))[1:])
-            for key, (_, errors, slow) in record.evidence.items()
+            sum(counts[1:3]) > sum(written.evidence.get(key, (0, 0, 0))[1:3])
+            for key, counts in record.evidence.items()
         )
 
     async def _write(self, record: routing.Peer) -> None:
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -7,7 +7,7 @@
 from berylrock.adapters import http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import answering, attempt, context, pool, sending
-from berylrock.ops import engineset, patience
+from berylrock.ops import engineset, norms, patience, staging
 
 __all__ = ["Forwarding"]
 
@@ -79,7 +79,18 @@
             state.health.note_answer(started_s)
         else:
             state.health.note_failure(self.now)
-        self.ctx.note_result(self.req.service, state.engine.version, failed=not good)
+        version = state.engine.version
+        slow = good and self._judge_time(version, started_s)
+        result = staging.Evidence(1, int(not good), int(slow), int(good))
+        self.ctx.note_result(self.req.service, version, result)
+
+    def _judge_time(self, version: str, started_s: float) -> bool:
+        """Whether a whole answer took long; what the serving version takes is learned."""
+        timing = norms.Timing(started_s, 0.0)
+        slow = self.ctx.norms.is_slow(self.req.route.name, "", timing)
+        if version != self.ctx.plan_for(self.req.service).trial:
+            self.ctx.norms.note(self.req.route.name, "", timing)
+        return slow
 
     async def run(self) -> None:
         """Forward a call that has one whole answer."""
@@ -105,7 +116,8 @@
     def _note_failure(self, state: engineset.EngineState, failure: attempt.Failure) -> None:
         if failure.may_have_run:
             silent = failure.reason == attempt.SILENT
-            self.ctx.note_result(self.req.service, state.engine.version, not silent, silent)
+            result = staging.Evidence(1, int(not silent), int(silent), int(silent))
+            self.ctx.note_result(self.req.service, state.engine.version, result)
         self._log_failed(state, failure.reason, failure.may_have_run)
 
     def _log_failed(self, state: engineset.EngineState, reason: str, may_have_run: bool) -> None:
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -10,7 +10,7 @@
 
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
-from berylrock.ops import budget, evidence, freshness, loadview, staging, views
+from berylrock.ops import budget, evidence, freshness, loadview, views
 
 __all__ = ["Gossip"]
 
@@ -29,7 +29,7 @@
       gateway: Its name.
       loads: Engine, requests, tokens and milliseconds since it was heard, for each engine.
       spent: Service, requests and repeats in the window of the retry budget.
-      results: Service, version, answers, failed and slow ones, for roll-outs under way.
+      results: Service, version and the fields of the evidence, for roll-outs under way.
       vetoes: Service and version of those that were found bad.
       mark: When this was sent.
       repeated: The receiver's mark that was heard last.
@@ -39,7 +39,7 @@
     gateway: str
     loads: list[tuple[str, int, int, int]]
     spent: list[tuple[str, int, int]]
-    results: list[tuple[str, str, int, int, int]] = []
+    results: list[tuple[str, str, tuple[int, ...]]] = []
     vetoes: list[tuple[str, str]] = []
     mark: views.Mark = NO_MARK
     repeated: views.Mark = NO_MARK
@@ -85,8 +85,8 @@
     def _take_findings(self, news: News) -> None:
         """Take what the other gateway knows of versions."""
         found = {
-            evidence.VersionKey(service, version): staging.Evidence(*counts)
-            for service, version, *counts in news.results
+            evidence.VersionKey(service, version): evidence.read_counts(counts)
+            for service, version, counts in news.results
         }
         self._ctx.evidence.take(news.gateway, found)
         for veto in news.vetoes:
@@ -145,7 +145,7 @@
         window_s = ctx.cfg.bounds.retry_window_s
         spent = [(name, *item.spent(now, window_s)) for name, item in ctx.budgets.items()]
         found = ctx.evidence.of_services(ctx.services_on_trial())
-        results = [(*key, *item) for key, item in found.items()]
+        results = [(*key, tuple(item)) for key, item in found.items()]
         reverted = [item for item in ctx.rollouts.values() if item.state == "reverted"]
         vetoes = ctx.evidence.vetoes | {(item.service, item.target) for item in reverted}
         clock = freshness.suspended_clock()
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -4,7 +4,7 @@
 
 from berylrock.adapters import http1
 from berylrock.daemons.gateway import attempt, forwarding
-from berylrock.ops import events, norms, patience, speeds, steps
+from berylrock.ops import events, norms, patience, speeds, staging, steps
 
 __all__ = ["StreamForwarding"]
 
@@ -126,7 +126,8 @@
         timing = norms.Timing(opened.at - opened.attempt.sent_at, 0.0)
         slow = self.ctx.norms.is_slow(self.req.route.name, self._step.model, timing)
         version = opened.attempt.state.engine.version
-        self.ctx.note_result(self.req.service, version, False, slow)
+        result = staging.Evidence(1, slow=int(slow), timed=int(slow))
+        self.ctx.note_result(self.req.service, version, result)
         self.ctx.log.write(
             "step_up",
             request=self.req.head.id,
@@ -217,7 +218,10 @@
             self.ctx.strikes.clear(self.req.fingerprint)
             self.ctx.speeds.note_events(self.req.route.name, self._count)
             state.health.note_answer(timing.first_s)
-            self.ctx.note_result(self.req.service, state.engine.version, False, slow)
+            paced = timing.per_event_s > 0.0
+            quick = paced and self.ctx.norms.is_quick(self.req.route.name, model, timing)
+            result = staging.Evidence(1, 0, int(slow), int(slow or paced), int(paced), int(quick))
+            self.ctx.note_result(self.req.service, state.engine.version, result)
             opened.attempt.end_whole(opened.head)
         else:
             self.note_result(opened, False, timing.first_s)
--- a/berylrock/ops/evidence.py
+++ b/berylrock/ops/evidence.py
@@ -8,7 +8,7 @@
 
 from berylrock.ops import staging
 
-__all__ = ["EvidencePool", "VersionKey", "read_results", "write_results"]
+__all__ = ["EvidencePool", "VersionKey", "read_counts", "read_results", "write_results"]
 
 
 class VersionKey(NamedTuple):
@@ -19,21 +19,23 @@
 
 
 Found = dict[VersionKey, staging.Evidence]
-Results = dict[str, tuple[int, int, int]]
+Results = dict[str, tuple[int, ...]]
 
 
 def write_results(found: Found) -> Results:
-    """Counts of answers, failed and slow ones by ``service version``, for a record."""
-    return {
-        f"{key.service} {key.version}": (item.answers, item.errors, item.slow)
-        for key, item in found.items()
-    }
+    """The fields of the evidence by ``service version``, for a record."""
+    return {f"{key.service} {key.version}": tuple(item) for key, item in found.items()}
 
 
 def read_results(results: Results) -> Found:
     """Read what ``write_results`` wrote."""
     keys = {name: VersionKey(*name.split(" ", 1)) for name in results if " " in name}
-    return {key: staging.Evidence(*results[name]) for name, key in keys.items()}
+    return {key: read_counts(results[name]) for name, key in keys.items()}
+
+
+def read_counts(counts: tuple[int, ...]) -> staging.Evidence:
+    """Evidence from its fields; a gateway of another release may have fewer or more."""
+    return staging.Evidence(*counts[: len(staging.Evidence._fields)])
 
 
 class EvidencePool:
--- a/berylrock/ops/staging.py
+++ b/berylrock/ops/staging.py
@@ -12,6 +12,7 @@
 """
 
 import hashlib
+import math
 from typing import NamedTuple
 
 from berylrock.core import routing
@@ -54,26 +55,48 @@
 ERROR_RATIO = 3.0
 ERROR_ALLOWANCE = 0.01
 LEAST_SLOW = 5
-SLOW_SHARE = 0.15
-# Load makes every version slow now and then.
-SLOW_RATIO, SLOW_ALLOWANCE = 2.0, 0.025
+# Load makes every version slow now and then; few answers are slow by chance.
+LEAST_USUAL_SLOW, SLOW_ALLOWANCE = 0.08, 0.05
+# Standard deviations above the usual share of slow answers; the test is made again and again.
+SLOW_DEVIATIONS = 4.0
+# Engines on trial have little to do: at least this share of a good version's streams is quick.
+LEAST_QUICK_SHARE = 0.4
+CHANCE_OF_NONE_QUICK = 0.005
 
 
 class Evidence(NamedTuple):
-    """Results of one version of a service: answers in all, failed ones, and slow ones."""
+    """Results of one version of a service.
+
+    Attributes:
+      answers: Answers in all.
+      errors: Failed ones.
+      slow: Slow ones.
+      timed: Those whose times say whether they are slow.
+      paced: Streams long enough to have a pace.
+      quick: Those of them that were about as fast as an idle engine of the serving version.
+    """
 
     answers: int = 0
     errors: int = 0
     slow: int = 0
+    timed: int = 0
+    paced: int = 0
+    quick: int = 0
 
     def plus(self, other: "Evidence") -> "Evidence":
         """Both together."""
         return Evidence(
-            self.answers + other.answers, self.errors + other.errors, self.slow + other.slow
+            self.answers + other.answers,
+            self.errors + other.errors,
+            self.slow + other.slow,
+            self.timed + other.timed,
+            self.paced + other.paced,
+            self.quick + other.quick,
         )
 
     def __str__(self) -> str:
-        return f"{self.errors}+{self.slow}/{self.answers}"
+        slow = f"{self.slow}of{self.timed}"
+        return f"{self.errors}+{slow}/{self.answers} quick {self.quick}of{self.paced}"
 
 
 class Plan(NamedTuple):
@@ -220,9 +243,29 @@
     failing = trial.errors / answers >= max(ERROR_SHARE, ERROR_RATIO * (usual + ERROR_ALLOWANCE))
     if trial.errors >= LEAST_ERRORS and failing:
         return True
-    usual = stable.slow / stable.answers if stable.answers else 0.0
-    slow = trial.slow / answers >= max(SLOW_SHARE, SLOW_RATIO * (usual + SLOW_ALLOWANCE))
-    return trial.slow >= LEAST_SLOW and slow
+    if _is_never_quick(trial, stable):
+        return True
+    return trial.slow >= LEAST_SLOW and _is_slower(trial, stable)
+
+
+def _is_never_quick(trial: Evidence, stable: Evidence) -> bool:
+    """Whether no stream of a version is quick, though some should be by now.
+
+    Under load many streams of the serving version are slow too, which hides a slow version from a
+    comparison of shares; its engines on trial have little to do, and still none is quick.
+    """
+    if trial.quick:
+        return False
+    usual = stable.quick / stable.paced if stable.paced else 0.0
+    return (1.0 - max(usual, LEAST_QUICK_SHARE)) ** trial.paced < CHANCE_OF_NONE_QUICK
+
+
+def _is_slower(trial: Evidence, stable: Evidence) -> bool:
+    """Whether so many of the answers can hardly be slow by chance."""
+    usual = stable.slow / stable.timed if stable.timed else 0.0
+    usual = min(1.0, max(LEAST_USUAL_SLOW, usual) + SLOW_ALLOWANCE)
+    spread = math.sqrt(trial.timed * usual * (1.0 - usual))
+    return trial.slow - usual * trial.timed > SLOW_DEVIATIONS * spread
 
 
 def make_schedule(duration_s: float, canary_share: float) -> Schedule:
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -302,7 +302,7 @@
 class _Peer(msgspec.Struct):
     beat: int
     address: str = ""
-    evidence: dict[str, tuple[int, int, int]] = {}
+    evidence: dict[str, tuple[int, ...]] = {}
     suspects: dict[str, tuple[str, ...]] = {}
 
 
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -66,6 +66,20 @@
     Given a roll-out of a version 8 times slower while 1 in 12 answers of all versions is slow
     Then it is taken back before 20 of its bad answers were seen
 
+  @failure.bad_version
+  Scenario: A slow version of a service that is often slow
+    Given a roll-out with 9 in 10 slow answers of the new version and 1 in 3 of the old one
+    Then it is taken back before 30 of its bad answers were seen
+
+  @failure.bad_version
+  Scenario: A version whose streams are all slower while load slows those of the old one
+    Then no quick stream among 12 is held against a version and one quick stream is not
+    And few streams without a quick one prove nothing
+
+  Scenario: A good version of a service that is often slow
+    Given a roll-out with 1 in 3 slow answers of the new version and 1 in 3 of the old one
+    Then it completes before its time is over
+
   @failure.bad_version
   Scenario Outline: A version whose fault never shows in <seconds> s with a share of <share>
     Given a roll-out of <seconds> s whose version may get <share> of the requests
--- a/features/steps/gateway_news_steps.py
+++ b/features/steps/gateway_news_steps.py
@@ -55,9 +55,11 @@
     pool = evidence.EvidencePool()
     pool.note(KEY, staging.Evidence(1, 1, 0))
     pool.take("entry-2", {KEY: staging.Evidence(4, 2, 1)})
-    pool.take("entry-3", evidence.read_results({"models v2": (5, 0, 0), "unreadable": (1, 1, 1)}))
-    pool.take("entry-2", evidence.read_results({"models v2": (3, 1, 1)}))
-    assert pool.pooled(KEY) == staging.Evidence(10, 3, 1), pool.pooled(KEY)
+    pool.take(
+        "entry-3", evidence.read_results({"models v2": (5, 0, 0, 1, 0, 0), "unreadable": (1, 1)})
+    )
+    pool.take("entry-2", evidence.read_results({"models v2": (3, 1, 1, 1)}))
+    assert pool.pooled(KEY) == staging.Evidence(10, 3, 1, 1), pool.pooled(KEY)
 
 
 @then("a gateway that starts again does not take back what it had seen")
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -23,11 +23,11 @@
             number += 1
             on_trial = rng.random() < share
             failed, slow = results(on_trial, share, age, number)
-            result = staging.Evidence(1, failed, slow)
+            result = staging.Evidence(1, failed, slow, 1)
             if on_trial:
                 trial, bad = trial.plus(result), bad + failed + slow
             else:
-                usual = usual.plus(staging.Evidence(1, failed, slow))
+                usual = usual.plus(staging.Evidence(1, failed, slow, 1))
         verdict = staging.decide(rollout, trial, usual, age, age - stage_at, canary_share)
         if verdict is not None:
             if verdict.stage != rollout.stage:
@@ -69,6 +69,19 @@
     context.state, context.bad, context.age = play_rollout(results)
 
 
+@given(
+    "a roll-out with {new:d} in {new_of:d} slow answers of the new version"
+    " and {old:d} in {old_of:d} of the old one"
+)
+def step_often_slow(context, new, new_of, old, old_of):
+    """Load makes every version slow."""
+
+    def results(trial, share, age, number):
+        return 0, int(number % new_of < new if trial else number % old_of < old)
+
+    context.state, context.bad, context.age = play_rollout(results)
+
+
 @then("a share of the sessions goes to the same share of the engines on trial")
 def step_trial_engines(context):
     """At least one engine, and more as the share grows."""
@@ -212,6 +225,7 @@
         found.note("r", "m", norms.Timing(0.2, 0.02))
     assert found.is_slow("r", "m", norms.Timing(1.6, 0.02))
     assert found.is_slow("r", "m", norms.Timing(0.2, 0.16))
+    assert found.is_slow("r", "m", norms.Timing(0.2, 0.05))
     assert not found.is_slow("r", "m", norms.Timing(0.4, 0.04))
     assert not found.is_slow("other", "m", norms.Timing(9.0, 9.0))
 
@@ -223,3 +237,20 @@
     found.note("r", "m", norms.Timing(0.2, 0.02))
     found.note("r", "m", norms.Timing(0.2, 0.02))
     assert not found.is_slow("r", "m", norms.Timing(9.0, 9.0))
+
+
+LOADED = staging.Evidence(1000, 10, 250, 700, 700, 250)
+
+
+@then("no quick stream among {count:d} is held against a version and one quick stream is not")
+def step_never_quick(context, count):
+    """The share of slow ones alone is that of the old version."""
+    trial = staging.Evidence(40, 0, count // 3, count, count, 0)
+    assert staging.looks_bad(trial, LOADED)
+    assert not staging.looks_bad(trial._replace(quick=1), LOADED)
+
+
+@then("few streams without a quick one prove nothing")
+def step_few_streams(context):
+    """They may have met a long prompt."""
+    assert not staging.looks_bad(staging.Evidence(20, 0, 1, 5, 5, 0), LOADED)
