--- a/features/support/platform/soak.py
+++ b/features/support/platform/soak.py
@@ -46,8 +46,8 @@
     running.start_all()
     callers = soakcalls.Callers(running, random.Random(rng.random()), faults)
     tasks = [
-        asyncio.run_coroutine_threadsafe(callers.work(), running.thread.loop)
-        for _ in range(CALLERS)
+        asyncio.run_coroutine_threadsafe(callers.work(number % 4 > 0), running.thread.loop)
+        for number in range(CALLERS)
     ]
     breaches = _disturb(running, faults, schedule)
     breaches += _recover(running)
--- a/features/support/platform/soakcalls.py
+++ b/features/support/platform/soakcalls.py
@@ -53,8 +53,12 @@
         self._count = 0
         self._ended = False
 
-    async def work(self):
-        """Send requests one after the other until told to end."""
+    async def work(self, keeps):
+        """Send requests one after the other until told to end.
+
+        Args:
+          keeps: Whether to go on using a connection until it is gone, or to open one each time.
+        """
         link, name, fresh = None, "", True
         while not self._ended:
             if link is None:
@@ -66,7 +70,8 @@
             call = await self._send(link, name, fresh)
             self.calls.append(call)
             fresh = False
-            if not (call.whole and call.headers.get("connection") != "close" and link.finish()):
+            again = keeps and call.whole and call.headers.get("connection") != "close"
+            if not (again and link.finish()):
                 link.close()
                 link = None
             await asyncio.sleep(PAUSE_S * self._rng.random())
