Close every connection of a process before its event loop ends

Seen: behind its last log line, a stopped gateway printed a traceback for each stream that the garbage collector closed after the event loop (Python 3.11.5 and newer): 'Exception ignored in StreamWriter.__del__ ... Event loop is closed'.

Cause: nobody closed the idle connections to engines and to the store at a stop, and a task of an accepted connection that is cancelled before it first runs never reaches its own 'finally'. Ruled out: a cut request's own connections; they close in 'Attempt.end'.

Change: whoever opens a stream closes it. adapters/listening owns accepted connections (gateway's callers, pages and relay, sidecar); the pool and the store's client are closed after the tasks that use them. A connection that is released to a closed pool is closed.

Callers saw nothing of this fault.

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from berylrock.adapters import http1
+from berylrock.adapters import http1, listening
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import admitting, context, forwarding, pool, responding, streaming
 from berylrock.platform import translating
@@ -35,7 +35,7 @@
         self._ctx = ctx
         self._conns = conns
         self._idle: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
+        self._server = listening.ConnectionServer(self._serve)
         self._closing = False
 
     async def start(self) -> None:
@@ -44,7 +44,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
-        self._server = await asyncio.start_server(self._serve, sock=sock, backlog=BACKLOG)
+        await self._server.start(sock=sock, backlog=BACKLOG)
 
     async def drain(self, stopped_at: float) -> None:
         """Finish running requests after SIGTERM, close idle connections, and stop in time.
@@ -61,8 +61,7 @@
         # A request that has just arrived is not yet being served, so open connections count.
         while self._open and loop.time() < drain_until:
             await asyncio.sleep(DRAIN_CHECK_S)
-        if self._server is not None:
-            self._server.close()
+        self._server.stop_listening()
         await self._close_open_connections()
 
     async def _close_open_connections(self) -> None:
@@ -75,6 +74,10 @@
             task.cancel()
         await asyncio.wait(tasks, timeout=DRAIN_CHECK_S)
 
+    async def close(self) -> None:
+        """Close the listening socket and the connections that are left."""
+        await self._server.close()
+
     async def _serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         table = self._ctx.table
         limits = table.config.limits if table is not None else routing.Limits()
--- a/berylrock/daemons/gateway/pages.py
+++ b/berylrock/daemons/gateway/pages.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from berylrock.adapters import http1
+from berylrock.adapters import http1, listening
 from berylrock.core import errors
 
 __all__ = ["Page", "serve"]
@@ -23,7 +23,9 @@
     text: str
 
 
-async def serve(address: tuple[str, int], render: Callable[[str], Page]) -> asyncio.Server:
+async def serve(
+    address: tuple[str, int], render: Callable[[str], Page]
+) -> listening.ConnectionServer:
     """Start an HTTP server for pages.
 
     Args:
@@ -48,11 +50,13 @@
         finally:
             await conn.close()
 
+    server = listening.ConnectionServer(handle)
     try:
-        return await asyncio.start_server(handle, *address)
+        await server.start(*address)
     except OSError as exc:
         remedy = "free the port or set another one"
         raise errors.SettingsError(f"cannot listen on {address}: {exc}; {remedy}") from exc
+    return server
 
 
 async def _serve_connection(conn: http1.CallerConnection, render: Callable[[str], Page]) -> None:
--- a/berylrock/daemons/gateway/pool.py
+++ b/berylrock/daemons/gateway/pool.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[http1.EngineConnection]] = {}
         self.opened = 0
+        self._closed = False
 
     async def acquire(
         self, engine: routing.Engine, run_once: bool, timeout_s: float = CONNECT_TIMEOUT_S
@@ -61,7 +62,7 @@
     def release(self, engine: routing.Engine, conn: http1.EngineConnection, closes: bool) -> None:
         """Keep a connection after a complete response, or close it if it cannot be reused."""
         fresh = conn.responses_read == 0 and conn.usable
-        if closes or not (fresh or conn.reset_for_reuse()):
+        if closes or self._closed or not (fresh or conn.reset_for_reuse()):
             conn.close()
             return
         self._idle.setdefault(engine.address, []).append(conn)
@@ -80,3 +81,11 @@
             self._idle[address] = kept
             if not kept:
                 del self._idle[address]
+
+    def close(self) -> None:
+        """Close the idle connections, and from now on each connection that is released."""
+        self._closed = True
+        for conns in self._idle.values():
+            for conn in conns:
+                conn.close()
+        self._idle.clear()
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 
+from berylrock.adapters import listening
 from berylrock.core import boundedlog, errors, eventlog, metrics, timer
 from berylrock.daemons import shutdown
 from berylrock.daemons.gateway import (
@@ -50,6 +51,7 @@
         self._gossip = gossip.Gossip(self._ctx)
         self._relay_server = relay.RelayServer(self._ctx)
         self._rollout_controller = advancing.RolloutController(self._ctx)
+        self._page_servers: list[listening.ConnectionServer] = []
         self._settings_stamp = self._read_stamp()
 
     def _read_stamp(self) -> tuple[float, int]:
@@ -129,8 +131,10 @@
         loop = asyncio.get_running_loop()
         stop = shutdown.ShutdownSignal(ctx.log)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await pages.serve(ctx.cfg.readiness_address, self._render_ready)
-        await pages.serve((ctx.cfg.address, METRICS_PORT), self._render_metrics)
+        self._page_servers = [
+            await pages.serve(ctx.cfg.readiness_address, self._render_ready),
+            await pages.serve((ctx.cfg.address, METRICS_PORT), self._render_metrics),
+        ]
         await self._gossip.start()
         await self._relay_server.start()
         await self._callers.start()
@@ -140,10 +144,19 @@
         ctx.stopping = True
         await self._callers.drain(loop.time())
         await self._record.withdraw()
-        self._gossip.close()
-        self._relay_server.close()
+        await self._close()
         ctx.log.write("stopped")
-        await ctx.timer.close()
+
+    async def _close(self) -> None:
+        """Close all connections; tasks end before the pools from which they take connections."""
+        self._gossip.close()
+        await self._callers.close()
+        await self._relay_server.close()
+        for server in self._page_servers:
+            await server.close()
+        await self._ctx.timer.close()
+        self._conns.close()
+        self._ctx.store.close()
 
 
 def run(path: str) -> None:
--- a/berylrock/daemons/gateway/relay.py
+++ b/berylrock/daemons/gateway/relay.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from berylrock.adapters import listening
 from berylrock.core import errors, stored
 from berylrock.daemons.gateway import context
 from berylrock.ops import freshness, views
@@ -138,13 +139,13 @@
 
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
-        self._server: asyncio.Server | None = None
+        self._server = listening.ConnectionServer(self._serve)
 
     async def start(self) -> None:
         """Start listening; raises ``SettingsError`` if the port cannot be used."""
         address = (self._ctx.cfg.address, self._ctx.cfg.peer_port)
         try:
-            self._server = await asyncio.start_server(self._serve, *address)
+            await self._server.start(*address)
         except OSError as exc:
             remedy = "free the port or set another port-range"
             raise errors.SettingsError(f"cannot use TCP {address}: {exc}; {remedy}") from exc
@@ -194,7 +195,6 @@
             report, delta.revision, delta.full, list(delta.objects), list(delta.deleted), existing
         )
 
-    def close(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+    async def close(self) -> None:
+        """Stop listening, and close the connections of the other gateways."""
+        await self._server.close()
--- a/berylrock/daemons/sidecar/process.py
+++ b/berylrock/daemons/sidecar/process.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from berylrock.adapters import backend as backend_adapters
+from berylrock.adapters import listening
 from berylrock.core import data, usage
 from berylrock.daemons import admin, runtime, shutdown
 from berylrock.daemons.sidecar import backend, entrylinks, runner
@@ -87,9 +88,8 @@
         Both waits are limited, and a second signal ends them.
         """
         stop = shutdown.ShutdownSignal(self._runtime.log)
-        server = await asyncio.start_server(
-            self._entry_links.serve, self._cfg.address, self._cfg.port, limit=2**18
-        )
+        server = listening.ConnectionServer(self._entry_links.serve)
+        await server.start(self._cfg.address, self._cfg.port, limit=2**18)
         admin_server = admin.AdminServer(
             self._cfg, self._runtime.log, self._status, lambda: self._ready(stop)
         )
@@ -100,9 +100,10 @@
         self._runtime.log.write("started", zone=self._cfg.zone, pool=self._cfg.pool)
         await stop.wait()
         await self._drain(stop)
-        server.close()
+        server.stop_listening()
         for conn in list(self._entry_links.links):
             await conn.flush_and_close()
+        await server.close()
         admin_server.stop()
         await self._runtime.timer.close()
         self._runtime.log.write("stopped")
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -188,6 +188,17 @@
     Then its caller receives no complete answer
     And the gateway has exited with status 0 and logged the closed connections
 
+  # Guards against streams that outlive the event loop, whose end is then a traceback.
+  @promise.shutdown
+  Scenario: A stop closes each kind of connection that is still open
+    Given a gateway with a grace time of 3 s
+    And a caller with an idle connection
+    And idle connections to the readiness page, the metrics page and the port for other gateways
+    And each read takes 30 s
+    And a chat that pauses for 30 s after each event
+    When SIGTERM is sent while a read is running
+    Then the gateway has exited with status 0, and its last line is that it stopped
+
   @promise.shutdown
   Scenario: A read that arrives while idle connections are being closed is answered
     Given each read takes 0.3 s
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -9,6 +9,7 @@
 from support.platform import fleet, scenario
 
 from berylrock.adapters import http1
+from berylrock.daemons.gateway import process
 
 # Time after SIGTERM at which idle connections have been closed, with a small margin.
 IDLE_CLOSED_S = 2.3
@@ -131,3 +132,33 @@
     assert context.gateway.process.wait(5) == 0
     log = context.gateway.log()
     assert "event=callers_cut connections=1" in log and "Traceback" not in log, log[-2000:]
+
+
+@given("idle connections to the readiness page, the metrics page and the port for other gateways")
+def step_idle_connections(context):
+    """Open a connection to each of the gateway's other ports, and leave it idle."""
+    gateway = context.gateway
+    ports = (gateway.ready_port, process.METRICS_PORT, gateway.peer_port)
+    context.idle_links = [
+        gateway.thread.run(http1.EngineConnection.open((gateway.host, port), 2.0)) for port in ports
+    ]
+
+
+@given("a chat that pauses for {seconds:g} s after each event")
+def step_pausing_chat(context, seconds):
+    """Send a chat, and wait until an engine runs it."""
+    gateway = context.gateway
+    for item in scenario.model_engines(context):
+        item.event_interval_s = seconds
+    chat = gateway.send_async("POST", "/chat/a", body=b"hello")
+    context.chat = asyncio.run_coroutine_threadsafe(chat, gateway.thread.loop)
+    gateway.wait(lambda: gateway.runs("models"), "the chat is running")
+
+
+@then("the gateway has exited with status 0, and its last line is that it stopped")
+def step_nothing_after_stop(context):
+    """Check that neither log nor standard error has anything after the stop."""
+    assert context.gateway.process.wait(5) == 0
+    lines = context.gateway.log().splitlines()
+    assert "event=stopped" in lines[-1], lines[-12:]
+    assert not any("Traceback" in line for line in lines), lines[-40:]
