Keep and log the results of versions by route

Results of a version are now kept by route, in memory, in datagrams (a field of its own, so that gateways of the earlier release still read the rest) and in records, and 'version_vetoed' and 'rollout_decided' log them. Datagrams carry the eight busiest entries and four of the others in turns; records the 64 busiest.

--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -78,14 +78,24 @@
         self, rollout: routing.Rollout
     ) -> tuple[rollouts.Evidence, rollouts.Evidence]:
         """Return the results of the version on trial and of the stable one."""
-        ctx = self._ctx
-        engines = [item.engine for item in ctx.engines.of_service(rollout.service)]
+        trial, stable = self._versions_of(rollout)
+        return self._ctx.evidence.total(trial), self._ctx.evidence.total(stable)
+
+    def _versions_of(
+        self, rollout: routing.Rollout
+    ) -> tuple[evidence.VersionKey, evidence.VersionKey]:
+        """Return the version on trial and the stable one."""
+        engines = [item.engine for item in self._ctx.engines.of_service(rollout.service)]
         others = [item for item in engines if item.version != rollout.target]
         stable = rollouts.majority_version(others) or ""
-        return (
-            ctx.evidence.total(evidence.VersionKey(rollout.service, rollout.target)),
-            ctx.evidence.total(evidence.VersionKey(rollout.service, stable)),
-        )
+        service = rollout.service
+        return evidence.VersionKey(service, rollout.target), evidence.VersionKey(service, stable)
+
+    def _describe_routes(self, rollout: routing.Rollout) -> str:
+        """Describe the results by route for the log."""
+        trial, stable = self._versions_of(rollout)
+        pool = self._ctx.evidence
+        return evidence.describe_routes(pool.by_route(trial), pool.by_route(stable))
 
     def _check_version(
         self, rollout: routing.Rollout, trial: rollouts.Evidence, stable: rollouts.Evidence
@@ -102,6 +112,7 @@
                 target=rollout.target,
                 trial=str(trial),
                 usual=str(stable),
+                routes=self._describe_routes(rollout),
             )
 
     def _decide(
@@ -162,5 +173,6 @@
             stage=decision.stage,
             reason=decision.reason,
             evidence=results,
+            routes=self._describe_routes(wanted),
             outcome=outcome,
         )
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -205,6 +205,7 @@
         """Tell whether a version was found bad."""
         return evidence.VersionKey(service, version) in self.evidence.vetoes
 
-    def add_evidence(self, service: str, version: str, result: rollouts.Evidence) -> None:
+    def add_evidence(self, req: routing.Request, version: str, result: rollouts.Evidence) -> None:
         """Add the result of a response to the evidence about a version."""
-        self.evidence.record(evidence.VersionKey(service, version), result)
+        key = evidence.ResultKey(req.service, version, req.route.name)
+        self.evidence.record(key, result)
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -13,6 +13,8 @@
 RETRY_INTERVAL_S = 5.0
 # Evidence reaches the other gateways by datagrams as well.
 EVIDENCE_INTERVAL_S = 2.5
+# Versions and routes with results in a record, which the store limits in size.
+MAX_RECORD_RESULTS = 64
 
 
 class RecordPublisher:
@@ -29,7 +31,7 @@
     def _make_record(self) -> routing.Peer:
         ctx = self._ctx
         found = ctx.evidence.for_services(ctx.services_in_rollout())
-        results = evidence.encode_results(found)
+        results = evidence.encode_results(evidence.busiest(found, MAX_RECORD_RESULTS))
         suspects: dict[str, tuple[str, ...]] = {}
         for strike in ctx.strikes.all():
             suspects[strike.fingerprint] = (*suspects.get(strike.fingerprint, ()), strike.fall)
@@ -76,14 +78,16 @@
         """
         if record.suspects != written.suspects:
             return True
-        trials = {
-            evidence.encode_key(evidence.VersionKey(item.service, item.target))
-            for item in self._ctx.rollouts.values()
-        }
+        trials = {(item.service, item.target) for item in self._ctx.rollouts.values()}
+        before = evidence.decode_results(written.evidence)
         return any(
-            sum(counts[1:3]) > sum(written.evidence.get(key, (0, 0, 0))[1:3])
-            for key, counts in record.evidence.items()
-            if key in trials
+            (
+                found.errors + found.slow > before[key].errors + before[key].slow
+                if key in before
+                else found.errors + found.slow > 0
+            )
+            for key, found in evidence.decode_results(record.evidence).items()
+            if key[:2] in trials
         )
 
     async def _write(self, record: routing.Peer) -> None:
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -96,7 +96,7 @@
         slow = good and self._record_timing(version, first_part_s)
         # Fields: answers, errors, slow, timed.
         result = rollouts.Evidence(1, int(not good), int(slow), int(good))
-        self.ctx.add_evidence(self.req.service, version, result)
+        self.ctx.add_evidence(self.req, version, result)
 
     def _record_timing(self, version: str, first_part_s: float) -> bool:
         """Record the time of a response, and return whether it was slow.
@@ -135,7 +135,7 @@
             timed_out = failure.reason == attempt.TIMED_OUT
             # Fields: answers, errors, slow, timed.
             result = rollouts.Evidence(1, int(not timed_out), int(timed_out), int(timed_out))
-            self.ctx.add_evidence(self.req.service, state.engine.version, result)
+            self.ctx.add_evidence(self.req, state.engine.version, result)
         self._log_attempt_failed(state, failure.reason, failure.may_have_run)
 
     def _log_attempt_failed(
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -26,6 +26,8 @@
 # In a large fleet each broadcast goes to a sample of the other gateways: at most half of it to the
 # own zone, whose gateways choose their relay by it.
 FANOUT = 32
+# Versions and routes whose results a datagram carries.
+BUSIEST_RESULTS, OTHER_RESULTS = 8, 4
 MAX_DATAGRAM_BYTES = 1400
 MS_PER_S = 1000.0
 NO_TIMESTAMP = views.SendTimestamp(0, 0)
@@ -42,11 +44,12 @@
       loads: Engine id, running requests, their tokens, and milliseconds since the engine was last
         heard, for each engine with running requests.
       spent: Service, requests and retries in the window of the retry budget.
-      results: Service, version and fields of the evidence, for rollouts in progress.
+      results: Service, version and fields of the evidence, as earlier releases send it.
       vetoes: Service and version of the versions that were found bad.
       mark: When this message was sent.
       repeated: The last ``mark`` that the sender got from the receiver.
       words: Digest and age of the sender's view of each watched kind, in order of the kinds' names.
+      route_results: Service, version, route and fields of the evidence, for rollouts in progress.
     """
 
     gateway: str
@@ -57,6 +60,7 @@
     mark: views.SendTimestamp = NO_TIMESTAMP
     repeated: views.SendTimestamp = NO_TIMESTAMP
     words: list[views.ViewReport] = []
+    route_results: list[tuple[str, str, str, tuple[int, ...]]] = []
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -68,6 +72,7 @@
         self._process = secrets.randbits(PROCESS_BITS)
         self._peer_timestamps: dict[str, views.SendTimestamp] = {}
         self._unknown_logged_at = float("-inf")
+        self._next_result = 0
 
     async def start(self) -> None:
         """Listen for datagrams; raises ``SettingsError`` if the port cannot be used."""
@@ -118,9 +123,13 @@
     def _record_evidence(self, message: GossipMessage) -> None:
         """Record the results and vetoes of versions that the other gateway reports."""
         found = {
-            evidence.VersionKey(service, version): evidence.decode_counts(counts)
+            evidence.ResultKey(service, version, ""): evidence.decode_counts(counts)
             for service, version, counts in message.results
         }
+        found |= {
+            evidence.ResultKey(service, version, route): evidence.decode_counts(counts)
+            for service, version, route, counts in message.route_results
+        }
         self._ctx.evidence.record_peer(message.gateway, found)
         for veto in message.vetoes:
             key = evidence.VersionKey(*veto)
@@ -178,8 +187,7 @@
         ]
         window_s = ctx.cfg.bounds.retry_window_s
         spent = [(name, *item.usage(now, window_s)) for name, item in ctx.budgets.items()]
-        found = ctx.evidence.for_services(ctx.services_in_rollout())
-        results = [(*key, tuple(item)) for key, item in found.items()]
+        results = [(*key, tuple(item)) for key, item in self._choose_results().items()]
         reverted = [item for item in ctx.rollouts.values() if item.state == "reverted"]
         vetoes = ctx.evidence.vetoes | {(item.service, item.target) for item in reverted}
         clock = freshness.boottime_clock()
@@ -188,12 +196,22 @@
             ctx.cfg.name,
             loads,
             spent,
-            results,
-            list(vetoes),
+            vetoes=list(vetoes),
             mark=self._timestamp(),
             words=words,
+            route_results=results,
         )
 
+    def _choose_results(self) -> evidence.EvidenceByKey:
+        """Choose the results to send: the busiest ones each time, and the others in turns."""
+        found = self._ctx.evidence.for_services(self._ctx.services_in_rollout())
+        chosen = evidence.busiest(found, BUSIEST_RESULTS)
+        others = [key for key in found if key not in chosen]
+        for _ in range(min(OTHER_RESULTS, len(others))):
+            self._next_result = (self._next_result + 1) % len(others)
+            chosen[others[self._next_result]] = found[others[self._next_result]]
+        return chosen
+
     def _choose_peers(self) -> list[routing.Peer]:
         """Choose the receivers: the gateways of the own zone, and a sample of the others."""
         ctx = self._ctx
--- a/berylrock/ops/evidence.py
+++ b/berylrock/ops/evidence.py
@@ -1,8 +1,9 @@
-"""Pools the results of all gateways for each version of a service.
+"""Pools the results of all gateways for each version of a service, by route.
 
 Scenario: a bad version on trial receives a few requests per second, spread over all gateways.
 No single gateway sees enough responses for a decision, but their sum suffices after a few bad
-responses.
+responses. Results are kept by route, because a response that is usual on one route is a fault on
+another.
 """
 
 from typing import NamedTuple
@@ -10,15 +11,22 @@
 from berylrock.ops import rollouts
 
 __all__ = [
+    "EvidenceByKey",
     "EvidencePool",
+    "ResultKey",
     "VersionKey",
+    "busiest",
     "decode_counts",
     "decode_results",
+    "describe_routes",
     "encode_key",
     "encode_results",
 ]
 
 
+MAX_LOGGED_ROUTES = 8
+
+
 class VersionKey(NamedTuple):
     """A version of a service."""
 
@@ -26,20 +34,39 @@
     version: str
 
 
-EvidenceByVersion = dict[VersionKey, rollouts.Evidence]
+class ResultKey(NamedTuple):
+    """A version of a service on one route; the route is empty if it is not known."""
+
+    service: str
+    version: str
+    route: str
+
+
+EvidenceByKey = dict[ResultKey, rollouts.Evidence]
 Results = dict[str, tuple[int, ...]]
 
 
-def encode_key(key: VersionKey) -> str:
+def encode_key(key: ResultKey) -> str:
     """Return the key under which a gateway's record holds the evidence about a version."""
-    return f"{key.service} {key.version}"
+    return f"{key.service} {key.version} {key.route}"
 
 
-def encode_results(found: EvidenceByVersion) -> Results:
+def decode_key(name: str) -> ResultKey | None:
+    """Decode the output of ``encode_key``; None if it is malformed.
+
+    A gateway of an earlier release writes no route.
+    """
+    parts = name.split(" ", 2)
+    if len(parts) < 2:
+        return None
+    return ResultKey(parts[0], parts[1], parts[2] if len(parts) > 2 else "")
+
+
+def encode_results(found: EvidenceByKey) -> Results:
     """Encode evidence for a gateway's record.
 
     Args:
-      found: The evidence by version.
+      found: The evidence by version and route.
 
     Returns:
       The fields of the evidence by ``encode_key``.
@@ -47,10 +74,10 @@
     return {encode_key(key): tuple(item) for key, item in found.items()}
 
 
-def decode_results(results: Results) -> EvidenceByVersion:
+def decode_results(results: Results) -> EvidenceByKey:
     """Decode the output of ``encode_results``; entries with a malformed key are skipped."""
-    keys = {name: VersionKey(*name.split(" ", 1)) for name in results if " " in name}
-    return {key: decode_counts(results[name]) for name, key in keys.items()}
+    keys = {name: decode_key(name) for name in results}
+    return {key: decode_counts(results[name]) for name, key in keys.items() if key is not None}
 
 
 def decode_counts(counts: tuple[int, ...]) -> rollouts.Evidence:
@@ -58,6 +85,39 @@
     return rollouts.Evidence(*counts[: len(rollouts.Evidence._fields)])
 
 
+def busiest(found: EvidenceByKey, limit: int) -> EvidenceByKey:
+    """Return the entries with the most answers, so that a message or record stays small.
+
+    Args:
+      found: Evidence by version and route.
+      limit: Largest number of entries.
+
+    Returns:
+      The entries, most answers first.
+    """
+    ordered = sorted(found, key=lambda key: (-found[key].answers, key))
+    return {key: found[key] for key in ordered[:limit]}
+
+
+def describe_routes(
+    trial: dict[str, rollouts.Evidence], stable: dict[str, rollouts.Evidence]
+) -> str:
+    """Describe the evidence about a rollout for the log, the routes with the most answers first.
+
+    Args:
+      trial: Evidence about the version on trial, by route.
+      stable: Evidence about the stable version, by route.
+
+    Returns:
+      For each route ``ROUTE:TRIAL~STABLE``, as ``rollouts.Evidence`` describes itself in brief.
+    """
+    ordered = sorted(trial, key=lambda route: (-trial[route].answers, route))[:MAX_LOGGED_ROUTES]
+    return " ".join(
+        f"{route}:{trial[route].brief}~{stable.get(route, rollouts.Evidence()).brief}"
+        for route in ordered
+    )
+
+
 class EvidencePool:
     """Results of this gateway and the last report of each other gateway.
 
@@ -71,29 +131,38 @@
     """
 
     def __init__(self) -> None:
-        self.own: EvidenceByVersion = {}
+        self.own: EvidenceByKey = {}
         self.vetoes: set[VersionKey] = set()
-        self._others: dict[str, EvidenceByVersion] = {}
+        self._others: dict[str, EvidenceByKey] = {}
 
-    def record(self, key: VersionKey, result: rollouts.Evidence) -> None:
+    def record(self, key: ResultKey, result: rollouts.Evidence) -> None:
         """Add a result of this gateway."""
         self.own[key] = self.own.get(key, rollouts.Evidence()).plus(result)
 
-    def record_peer(self, gateway: str, found: EvidenceByVersion) -> None:
+    def record_peer(self, gateway: str, found: EvidenceByKey) -> None:
         """Record the total results that another gateway reports."""
         known = self._others.setdefault(gateway, {})
         for key, evidence in found.items():
             if evidence.answers >= known.get(key, rollouts.Evidence()).answers:
                 known[key] = evidence
 
-    def total(self, key: VersionKey) -> rollouts.Evidence:
-        """Return the sum over all gateways."""
-        result = self.own.get(key, rollouts.Evidence())
-        for found in self._others.values():
-            result = result.plus(found.get(key, rollouts.Evidence()))
+    def total(self, version: VersionKey) -> rollouts.Evidence:
+        """Return the sum over all gateways and routes."""
+        result = rollouts.Evidence()
+        for found in self.by_route(version).values():
+            result = result.plus(found)
         return result
 
-    def for_services(self, services: set[str]) -> EvidenceByVersion:
+    def by_route(self, version: VersionKey) -> dict[str, rollouts.Evidence]:
+        """Return the sum over all gateways for each route with results of a version."""
+        results: dict[str, rollouts.Evidence] = {}
+        for found in (self.own, *self._others.values()):
+            for key, item in found.items():
+                if key[:2] == version:
+                    results[key.route] = results.get(key.route, rollouts.Evidence()).plus(item)
+        return results
+
+    def for_services(self, services: set[str]) -> EvidenceByKey:
         """Return this gateway's results for the versions of some services."""
         return {key: item for key, item in self.own.items() if key.service in services}
 
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -101,10 +101,14 @@
             self.quick + other.quick,
         )
 
+    @property
+    def brief(self) -> str:
+        """Return ``ERRORS+SLOWofTIMED/ANSWERS``, as in 5+3of7/20."""
+        return f"{self.errors}+{self.slow}of{self.timed}/{self.answers}"
+
     def __str__(self) -> str:
         """Return ``ERRORS+SLOWofTIMED/ANSWERS quick QUICKofPACED``, as in 5+3of7/20 quick 0of4."""
-        slow = f"{self.slow}of{self.timed}"
-        return f"{self.errors}+{slow}/{self.answers} quick {self.quick}of{self.paced}"
+        return f"{self.brief} quick {self.quick}of{self.paced}"
 
 
 class Plan(NamedTuple):
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -152,6 +152,7 @@
   Scenario: Gateways pool their results on a version on trial
     Then results of several gateways are summed, from datagrams as well as from records
     And the lower counts of a restarted gateway do not replace its earlier ones
+    And each route has its own results, and a message carries those with the most answers
 
   Scenario: One gateway queries the store and the others rely on its reports
     Then a view that equals another gateway's takes over the oldest age which that may have
--- a/features/steps/gateway_gossip_steps.py
+++ b/features/steps/gateway_gossip_steps.py
@@ -12,6 +12,7 @@
 from berylrock.ops import evidence, rollouts, views
 
 KEY = evidence.VersionKey("models", "v2")
+CHAT, READ = (evidence.ResultKey(*KEY, route) for route in ("chat", "read"))
 CHAT_COUNT = 6
 METRICS_PORT = 9464
 # With this bound every gateway watches the store itself.
@@ -119,13 +120,24 @@
 def step_pooled(context):
     """Check that a gateway's later report replaces its earlier one, by either way."""
     pool = evidence.EvidencePool()
-    pool.record(KEY, rollouts.Evidence(1, 1, 0))
-    pool.record_peer("entry-2", {KEY: rollouts.Evidence(4, 2, 1)})
-    pool.record_peer(
-        "entry-3", evidence.decode_results({"models v2": (5, 0, 0, 1, 0, 0), "unreadable": (1, 1)})
-    )
-    pool.record_peer("entry-2", evidence.decode_results({"models v2": (3, 1, 1, 1)}))
+    pool.record(CHAT, rollouts.Evidence(1, 1, 0))
+    pool.record_peer("entry-2", {CHAT: rollouts.Evidence(4, 2, 1)})
+    earlier_release = {"models v2": (5, 0, 0, 1, 0, 0), "unreadable": (1, 1)}
+    pool.record_peer("entry-3", evidence.decode_results(earlier_release))
+    pool.record_peer("entry-2", evidence.decode_results({"models v2 chat": (3, 1, 1, 1)}))
     assert pool.total(KEY) == rollouts.Evidence(10, 3, 1, 1), pool.total(KEY)
+    assert pool.by_route(KEY)["chat"] == rollouts.Evidence(5, 3, 1), pool.by_route(KEY)
+
+
+@then("each route has its own results, and a message carries those with the most answers")
+def step_by_route(context):
+    """Check that routes are kept apart, and the limit on a message."""
+    pool = evidence.EvidencePool()
+    pool.record(READ, rollouts.Evidence(9, 0))
+    pool.record(CHAT, rollouts.Evidence(2, 1))
+    assert pool.by_route(KEY) == {"chat": rollouts.Evidence(2, 1), "read": rollouts.Evidence(9, 0)}
+    assert list(evidence.busiest(pool.own, 1)) == [READ]
+    assert evidence.decode_results(evidence.encode_results(pool.own)) == pool.own
 
 
 @then("the lower counts of a restarted gateway do not replace its earlier ones")
@@ -135,11 +147,11 @@
     A new rollout starts without evidence.
     """
     pool = evidence.EvidencePool()
-    pool.record_peer("entry-2", {KEY: rollouts.Evidence(4, 2, 1)})
-    pool.record_peer("entry-2", {KEY: rollouts.Evidence(1, 0, 0)})
+    pool.record_peer("entry-2", {CHAT: rollouts.Evidence(4, 2, 1)})
+    pool.record_peer("entry-2", {CHAT: rollouts.Evidence(1, 0, 0)})
     assert pool.total(KEY) == rollouts.Evidence(4, 2, 1)
     other = evidence.VersionKey("other", "v2")
-    pool.record(other, rollouts.Evidence(2, 1, 0))
+    pool.record(evidence.ResultKey(*other, "chat"), rollouts.Evidence(2, 1, 0))
     pool.discard(KEY.service)
     assert pool.total(KEY) == rollouts.Evidence()
     assert pool.total(other) == rollouts.Evidence(2, 1, 0)
