--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -129,6 +129,31 @@
       | 16      | 0.12  |
       | 60      | 0.1   |
 
+  # Guards against a fault of one kind of request that the other kinds hide.
+  @failure.bad_version
+  Scenario Outline: A plain service's version that fails <kind> requests from <seconds> s on is rolled back
+    Given 200 rollouts whose new version fails half of the <kind> requests from <seconds> s on
+    Then none is completed, and no new version receives more requests than allowed
+
+    Examples: kind and start of the fault
+      | kind | seconds |
+      | book | 0       |
+      | look | 0       |
+      | book | 3       |
+
+  # Guards against a slow version whose times stay below a fixed bound for slow answers.
+  @failure.bad_version
+  Scenario: A plain service's version that is slow is rolled back
+    Given 200 rollouts whose new version answers half of all requests 8 times slower
+    Then none is completed, and no new version receives more requests than allowed
+
+  Scenario: A good version of a plain service with several kinds of requests is completed
+    Given 200 rollouts whose new version is good
+    Then 95 in 100 at least are completed before the deadline
+
+  Scenario: Answers of a slow version are recognised as slow, also where the usual ones are quick
+    Then an answer 8 times slower than 30 ms is slow and one 2 times slower is not
+
   Scenario: The engines of a version on trial carry their later load
     Then a share of the sessions is sent to the same share of the engines on trial
 
--- /dev/null
+++ b/features/steps/gateway_trial_steps.py
@@ -0,0 +1,60 @@
+"""Steps on rollouts of plain services with several kinds of requests, without a network."""
+
+import collections
+
+from behave import given, then
+from support import rolloutsim
+
+from berylrock.ops import baselines
+
+ALL_ROUTES = tuple(rolloutsim.LOADS)
+
+
+@given(
+    "{count:d} rollouts whose new version fails half of the {kind} requests from {seconds:g} s on"
+)
+def step_one_kind_fails(context, count, kind, seconds):
+    """Simulate a fault on one route."""
+    fault = rolloutsim.Fault((kind,), 0.5, after_s=seconds)
+    context.outcomes = rolloutsim.run_many(fault, count)
+
+
+@given("{count:d} rollouts whose new version answers half of all requests {x:g} times slower")
+def step_slow(context, count, x):
+    """Simulate a slow version."""
+    context.outcomes = rolloutsim.run_many(rolloutsim.Fault(ALL_ROUTES, 0.5, x), count)
+
+
+@given("{count:d} rollouts whose new version is good")
+def step_good(context, count):
+    """Simulate sound versions."""
+    context.outcomes = rolloutsim.run_many(rolloutsim.Fault(), count)
+
+
+@then("none is completed, and no new version receives more requests than allowed")
+def step_none_completed(context):
+    """Check each rollout: after its completion nobody can roll it back."""
+    states = collections.Counter(item.state for item in context.outcomes)
+    assert not states["completed"], states
+    beyond = [item for item in context.outcomes if not item.within_share]
+    assert not beyond, beyond[:3]
+    assert all(item.bad < rolloutsim.MAX_BAD_ANSWERS for item in context.outcomes)
+
+
+@then("{share:d} in 100 at least are completed before the deadline")
+def step_most_completed(context, share):
+    """Check the share of the rollouts that need no operator."""
+    in_time = sum(item.state == "completed" and item.in_time for item in context.outcomes)
+    states = collections.Counter(item.state for item in context.outcomes)
+    assert in_time * 100 >= share * len(context.outcomes), (in_time, states)
+
+
+@then("an answer {x:g} times slower than {usual_ms:g} ms is slow and one {y:g} times slower is not")
+def step_slow_plain_answer(context, x, usual_ms, y):
+    """Check the times of a service that answers quickly."""
+    usual = baselines.LatencyBaselines()
+    usual_s = usual_ms / 1000.0
+    for _ in range(20):
+        usual.record("r", "", baselines.Timing(usual_s, 0.0))
+    assert usual.is_slow("r", "", baselines.Timing(x * usual_s, 0.0))
+    assert not usual.is_slow("r", "", baselines.Timing(y * usual_s, 0.0))
--- /dev/null
+++ b/features/support/rolloutsim.py
@@ -0,0 +1,170 @@
+"""Simulates rollouts of plain services with several kinds of requests, without a network.
+
+Load pattern: a dozen requests a second, of which one kind hardly ever fails, one fails in one of
+seven answers on sound versions, one always lasts longer than its timeout, and one is answered at
+once.
+"""
+
+import random
+from typing import NamedTuple
+
+from berylrock.core import routing
+from berylrock.ops import baselines, rollouts
+
+STEP_S = 0.1
+CANARY_SHARE, CANARY_MARGIN = 0.15, 30
+# Bound on a bad version: bad answers after which it gets no more requests, some seconds later.
+MAX_BAD_ANSWERS = 50
+# A rollout that is still running at its deadline is simulated for this much longer.
+OVERTIME_S = 30.0
+
+
+class RouteLoad(NamedTuple):
+    """Requests of one route and how sound versions answer them.
+
+    Attributes:
+      per_s: Requests per second.
+      error_share: Share of the answers that are errors.
+      usual_s: Median time of an answer, in seconds.
+    """
+
+    per_s: float
+    error_share: float
+    usual_s: float
+
+
+LOADS = {
+    "book": RouteLoad(8.0, 0.004, 0.03),
+    "look": RouteLoad(3.4, 0.14, 0.03),
+    "timeout": RouteLoad(1.0, 1.0, 0.37),
+    "instant": RouteLoad(1.5, 0.0, 0.003),
+}
+
+
+class Fault(NamedTuple):
+    """What is wrong with the new version.
+
+    Attributes:
+      routes: Names of the routes on which it is bad.
+      share: Share of the answers there that are bad.
+      slowdown: Factor on the times of bad answers; 0 if they are errors instead.
+      after_s: Seconds after the order from which on they are bad.
+    """
+
+    routes: tuple[str, ...] = ()
+    share: float = 0.0
+    slowdown: float = 0.0
+    after_s: float = 0.0
+
+
+class Outcome(NamedTuple):
+    """How a simulated rollout ended.
+
+    Attributes:
+      state: State of the rollout at the end of the simulation.
+      in_time: Whether it ended before its deadline.
+      exposed: Requests that the new version received before the deadline.
+      requests: All requests before the deadline.
+      bad: Bad answers of the new version.
+    """
+
+    state: str
+    in_time: bool
+    exposed: int
+    requests: int
+    bad: int
+
+    @property
+    def within_share(self):
+        """Whether the new version received no more requests than allowed."""
+        return self.exposed <= CANARY_SHARE * self.requests + CANARY_MARGIN
+
+
+class Simulation:
+    """One rollout with a seed, and the traffic beside it."""
+
+    def __init__(self, seed, fault, duration_s=15.0, loads=None):
+        self._rng = random.Random(seed)
+        self._fault = fault
+        self._loads = LOADS if loads is None else loads
+        self._rollout = routing.Rollout("plain", "v2", duration_s, "new", 0, 1)
+        self._results = {"v1": {}, "v2": {}}
+        self._baselines = baselines.LatencyBaselines()
+        self._stage_at = 0.0
+        self.exposed = self.requests = self.bad = 0
+
+    def run(self):
+        """Run to the rollout's deadline, or longer while it has not ended."""
+        for _ in range(50):
+            self._serve_step(-1.0)
+        self._results = {"v1": {}, "v2": {}}
+        self.exposed = self.requests = 0
+        deadline_s, age_s, in_time = self._rollout.duration_s, 0.0, False
+        while age_s < deadline_s or (self._running and age_s < deadline_s + OVERTIME_S):
+            before = self.exposed, self.requests
+            self._serve_step(age_s)
+            if age_s >= deadline_s:
+                self.exposed, self.requests = before
+            if self._running:
+                self._decide(age_s)
+                in_time = not self._running and age_s < deadline_s
+            age_s += STEP_S
+        return Outcome(self._rollout.state, in_time, self.exposed, self.requests, self.bad)
+
+    @property
+    def _running(self):
+        return self._rollout.state in ("new", "running")
+
+    def _share(self):
+        if self._rollout.state == "running":
+            return rollouts.STAGE_SHARES[self._rollout.stage]
+        return 1.0 if self._rollout.state == "completed" else 0.0
+
+    def _serve_step(self, age_s):
+        for name, load in self._loads.items():
+            arrivals = int(load.per_s * STEP_S + self._rng.random())
+            for _ in range(arrivals):
+                self._answer(name, load, age_s)
+
+    def _answer(self, name, load, age_s):
+        self.requests += 1
+        on_trial = self._rng.random() < self._share()
+        failed = self._rng.random() < load.error_share
+        seconds = load.usual_s * self._rng.lognormvariate(0.0, 0.5)
+        fault = self._fault
+        if on_trial:
+            self.exposed += 1
+            affected = name in fault.routes and age_s >= fault.after_s
+            if affected and self._rng.random() < fault.share:
+                self.bad += 1
+                failed = failed or not fault.slowdown
+                seconds *= fault.slowdown or 1.0
+        timing = baselines.Timing(seconds, 0.0)
+        slow = not failed and self._baselines.is_slow(name, "", timing)
+        if not on_trial and not failed:
+            self._baselines.record(name, "", timing)
+        found = self._results["v2" if on_trial else "v1"]
+        result = rollouts.Evidence(1, int(failed), int(slow), int(not failed))
+        found[name] = found.get(name, rollouts.Evidence()).plus(result)
+
+    def _decide(self, age_s):
+        trial, stable = (self._total(version) for version in ("v2", "v1"))
+        decision = rollouts.decide(
+            self._rollout, trial, stable, age_s, age_s - self._stage_at, CANARY_SHARE
+        )
+        if decision is None:
+            return
+        if decision.stage != self._rollout.stage:
+            self._stage_at = age_s
+        self._rollout = self._rollout._replace(state=decision.state, stage=decision.stage)
+
+    def _total(self, version):
+        result = rollouts.Evidence()
+        for found in self._results[version].values():
+            result = result.plus(found)
+        return result
+
+
+def run_many(fault, count, **options):
+    """Simulate rollouts with the seeds from 0 to ``count`` and return their outcomes."""
+    return [Simulation(seed, fault, **options).run() for seed in range(count)]
