Judge a version on trial on each route by what is usual there

Cause: one count for all routes. A noisy route (one answer in seven fails on sound versions) raised the threshold for all, and sound answers elsewhere diluted the fault.

Change: ops/trials.TrialJudge makes a sequential likelihood ratio test for each route, bounded below so that a late fault is found as soon. The older test over all routes stays beside it. decide() gets a Verdict in place of two counts.

The incident's own counts, as a test, name the failing route; a route that fails on both versions and three streams of one crashed engine do not.

--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -4,7 +4,7 @@
 
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
-from berylrock.ops import backoff, evidence, freshness, rolloutclock, rollouts, turns
+from berylrock.ops import backoff, evidence, freshness, rolloutclock, rollouts, trials, turns
 from berylrock.platform import decoding, names
 
 __all__ = ["RolloutController"]
@@ -19,6 +19,7 @@
     """State of one rollout that this process keeps in memory.
 
     Attributes:
+      judge: Judges the version on trial.
       clock: Age of the rollout and of its stage.
       backoff: Pauses after failed writes.
       retry_at: Time before which no write is made, by ``freshness.boottime_clock``.
@@ -26,6 +27,7 @@
     """
 
     def __init__(self, rollout: routing.Rollout, now: float) -> None:
+        self.judge = trials.TrialJudge()
         self.clock = rolloutclock.RolloutClock(rollout, now, time.time() * MS_PER_S)
         self.backoff = backoff.Backoff(FIRST_PAUSE_S, MAX_PAUSE_S)
         self.retry_at = 0.0
@@ -49,9 +51,9 @@
         """Write the next state of a rollout if there is one and it is this gateway's turn."""
         now = freshness.boottime_clock()
         progress = self._progress_of(rollout, now)
-        trial, stable = self._evidence_for(rollout)
-        self._check_version(rollout, trial, stable)
-        decision = self._decide(rollout, progress, trial, stable, now)
+        verdict = self._judge(rollout, progress)
+        self._check_version(rollout, verdict)
+        decision = self._decide(rollout, progress, verdict, now)
         if decision is None or now < progress.retry_at:
             return
         wanted = rollout._replace(
@@ -64,7 +66,7 @@
             progress.retry_at = freshness.boottime_clock() + progress.backoff.next_pause_s()
         else:
             progress.backoff.reset()
-        self._log(wanted, decision, f"{trial} usual {stable}", outcome or "written")
+        self._log(wanted, decision, verdict, outcome or "written")
 
     def _progress_of(self, rollout: routing.Rollout, now: float) -> _Progress:
         progress = self._progress.get(rollout.service)
@@ -74,12 +76,16 @@
         progress.clock.observe(rollout, now)
         return progress
 
-    def _evidence_for(
-        self, rollout: routing.Rollout
-    ) -> tuple[rollouts.Evidence, rollouts.Evidence]:
-        """Return the results of the version on trial and of the stable one."""
+    def _judge(self, rollout: routing.Rollout, progress: _Progress) -> rollouts.Verdict:
+        """Judge the version on trial by the results of all gateways."""
+        ctx = self._ctx
         trial, stable = self._versions_of(rollout)
-        return self._ctx.evidence.total(trial), self._ctx.evidence.total(stable)
+        total, usual = ctx.evidence.total(trial), ctx.evidence.total(stable)
+        progress.judge.update(ctx.evidence.by_route(trial), ctx.evidence.by_route(stable))
+        service = ctx.table.services.get(rollout.service) if ctx.table is not None else None
+        streams = service is not None and service.token_capacity > 0
+        fault = progress.judge.find_fault(streams) or rollouts.find_fault(total, usual)
+        return rollouts.Verdict(fault, total, usual)
 
     def _versions_of(
         self, rollout: routing.Rollout
@@ -97,30 +103,27 @@
         pool = self._ctx.evidence
         return evidence.describe_routes(pool.by_route(trial), pool.by_route(stable))
 
-    def _check_version(
-        self, rollout: routing.Rollout, trial: rollouts.Evidence, stable: rollouts.Evidence
-    ) -> None:
+    def _check_version(self, rollout: routing.Rollout, verdict: rollouts.Verdict) -> None:
         """Veto the version on trial if it is bad; the other gateways hear of it by datagram."""
         ctx = self._ctx
-        if ctx.is_vetoed(rollout.service, rollout.target):
+        if not verdict.fault or ctx.is_vetoed(rollout.service, rollout.target):
             return
-        if rollouts.should_roll_back(trial, stable):
-            ctx.evidence.vetoes.add(evidence.VersionKey(rollout.service, rollout.target))
-            ctx.log.write(
-                "version_vetoed",
-                service=rollout.service,
-                target=rollout.target,
-                trial=str(trial),
-                usual=str(stable),
-                routes=self._describe_routes(rollout),
-            )
+        ctx.evidence.vetoes.add(evidence.VersionKey(rollout.service, rollout.target))
+        ctx.log.write(
+            "version_vetoed",
+            service=rollout.service,
+            target=rollout.target,
+            reason=verdict.fault,
+            trial=str(verdict.trial),
+            usual=str(verdict.usual),
+            routes=self._describe_routes(rollout),
+        )
 
     def _decide(
         self,
         rollout: routing.Rollout,
         progress: _Progress,
-        trial: rollouts.Evidence,
-        stable: rollouts.Evidence,
+        verdict: rollouts.Verdict,
         now: float,
     ) -> rollouts.Decision | None:
         ctx = self._ctx
@@ -133,8 +136,7 @@
             return rollouts.Decision("reverted", rollout.stage, "found bad") if due else None
         return rollouts.decide(
             rollout,
-            trial,
-            stable,
+            verdict,
             progress.clock.age_s(now) - delay_s,
             progress.clock.stage_s(now) - delay_s,
             ctx.cfg.bounds.canary_share,
@@ -163,7 +165,11 @@
             self._ctx.rollouts[rollout.service] = rollout
 
     def _log(
-        self, wanted: routing.Rollout, decision: rollouts.Decision, results: str, outcome: str
+        self,
+        wanted: routing.Rollout,
+        decision: rollouts.Decision,
+        verdict: rollouts.Verdict,
+        outcome: str,
     ) -> None:
         self._ctx.log.write(
             "rollout_decided",
@@ -172,7 +178,7 @@
             state=decision.state,
             stage=decision.stage,
             reason=decision.reason,
-            evidence=results,
+            evidence=f"{verdict.trial} usual {verdict.usual}",
             routes=self._describe_routes(wanted),
             outcome=outcome,
         )
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -25,10 +25,11 @@
     "Plan",
     "Schedule",
     "SessionVersions",
+    "Verdict",
     "majority_version",
     "choose_version",
     "decide",
-    "should_roll_back",
+    "find_fault",
     "make_plan",
     "make_schedule",
     "trial_engines",
@@ -257,7 +258,21 @@
         self._last = {key: item for key, item in self._last.items() if now - item[1] < ttl_s}
 
 
-def should_roll_back(trial: Evidence, stable: Evidence) -> bool:
+class Verdict(NamedTuple):
+    """What is known about a version on trial.
+
+    Attributes:
+      fault: Why the version has to be rolled back, for the log; empty if it need not be.
+      trial: Results of the version on trial at all gateways and on all routes.
+      usual: Those of the stable version.
+    """
+
+    fault: str = ""
+    trial: Evidence = Evidence()
+    usual: Evidence = Evidence()
+
+
+def find_fault(trial: Evidence, stable: Evidence) -> str:
     """Tell whether a version on trial is so much worse than the stable one that it is rolled back.
 
     Args:
@@ -265,7 +280,8 @@
       stable: Results of the stable version.
 
     Returns:
-      Whether it has too many errors, too many slow responses, or no quick stream.
+      Whether it has too many errors, too many slow responses or no quick stream, for the log; empty
+      if it has none of these.
     """
     answers = max(1, trial.answers)
     usual_error_share = stable.errors / stable.answers if stable.answers else 0.0
@@ -273,10 +289,10 @@
         MIN_ERROR_RATE, ERROR_RATIO * (usual_error_share + ERROR_ALLOWANCE)
     )
     if trial.errors >= MIN_ERRORS and failing:
-        return True
+        return "errors"
     if _is_never_quick(trial, stable):
-        return True
-    return trial.slow >= MIN_SLOW and _is_slower(trial, stable)
+        return "no quick stream"
+    return "slow" if trial.slow >= MIN_SLOW and _is_slower(trial, stable) else ""
 
 
 def _is_never_quick(trial: Evidence, stable: Evidence) -> bool:
@@ -319,8 +335,7 @@
 
 def decide(
     rollout: routing.Rollout,
-    trial: Evidence,
-    stable: Evidence,
+    verdict: Verdict,
     age_s: float,
     stage_s: float,
     canary_share: float,
@@ -329,8 +344,7 @@
 
     Args:
       rollout: The order and its status.
-      trial: Results of the target version at all gateways.
-      stable: Results of the stable version at all gateways.
+      verdict: What the results of all gateways say about the target version.
       age_s: Time since the order, less this gateway's delay, in seconds.
       stage_s: Time since this gateway first saw the stage, less this gateway's delay, in seconds.
       canary_share: Largest share of the requests before the deadline that a bad version may
@@ -341,8 +355,10 @@
     """
     if rollout.state in ("completed", "reverted"):
         return None
-    if should_roll_back(trial, stable):
-        return Decision("reverted", rollout.stage, f"errors+slow/answers={trial}")
+    if verdict.fault:
+        return Decision(
+            "reverted", rollout.stage, f"{verdict.fault}; errors+slow/answers={verdict.trial}"
+        )
     if rollout.state == "new":
         return Decision("running", 0, "rollout started") if age_s >= 0.0 else None
     due = make_schedule(rollout.duration_s, canary_share)
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -131,6 +131,13 @@
 
   # Guards against a fault of one kind of request that the other kinds hide.
   @failure.bad_version
+  Scenario: A version is judged on each route by what is usual there
+    Then 3 errors in 6 answers are a fault where the old version has none, whatever fails elsewhere
+    And 3 errors in 6 answers are none where the old version has as many
+    And 3 streams that end with one engine are no fault of a version
+
+  # Guards against a rollout that is completed before enough is known of each kind of request.
+  @failure.bad_version
   Scenario Outline: A plain service's version that fails <kind> requests from <seconds> s on is rolled back
     Given 200 rollouts whose new version fails half of the <kind> requests from <seconds> s on
     Then none is completed, and no new version receives more requests than allowed
--- a/features/steps/gateway_trial_steps.py
+++ b/features/steps/gateway_trial_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then
 from support import rolloutsim
 
-from berylrock.ops import baselines
+from berylrock.ops import baselines, rollouts, trials
 
 ALL_ROUTES = tuple(rolloutsim.LOADS)
 
@@ -58,3 +58,34 @@
         usual.record("r", "", baselines.Timing(usual_s, 0.0))
     assert usual.is_slow("r", "", baselines.Timing(x * usual_s, 0.0))
     assert not usual.is_slow("r", "", baselines.Timing(y * usual_s, 0.0))
+
+
+def judge_routes(trial, stable, streams=False):
+    """Return the fault that is found from pairs of errors and answers by route."""
+    judge = trials.TrialJudge()
+    judge.update(
+        {route: rollouts.Evidence(answers, errors) for route, (errors, answers) in trial.items()},
+        {route: rollouts.Evidence(answers, errors) for route, (errors, answers) in stable.items()},
+    )
+    return judge.find_fault(streams)
+
+
+@then("3 errors in 6 answers are a fault where the old version has none, whatever fails elsewhere")
+def step_fault_on_route(context):
+    """Check a rollout that was completed at these counts."""
+    trial = {"book": (3, 6), "look": (1, 3), "timeout": (1, 1)}
+    stable = {"book": (0, 125), "look": (21, 55), "timeout": (23, 23)}
+    assert "book" in judge_routes(trial, stable)
+
+
+@then("3 errors in 6 answers are none where the old version has as many")
+def step_no_fault_on_route(context):
+    """Check a route that fails on both versions."""
+    assert not judge_routes({"look": (3, 6)}, {"look": (25, 50)})
+    assert not judge_routes({"timeout": (6, 6)}, {"timeout": (25, 25)})
+
+
+@then("3 streams that end with one engine are no fault of a version")
+def step_crashed_streams(context):
+    """Check the streams that an engine was running when it crashed."""
+    assert not judge_routes({"chat": (3, 6)}, {"chat": (0, 125)}, streams=True)
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -6,7 +6,7 @@
 from support.gateway_data import make_engine, make_route
 
 from berylrock.core import routing
-from berylrock.ops import baselines, rollouts, routecascade, timeouts
+from berylrock.ops import baselines, rollouts, routecascade, timeouts, trials
 
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
 
@@ -28,7 +28,7 @@
     """
     rollout = routing.Rollout("models", "v2", seconds, "running", 0, 1)
     trial, usual, stage_at, number, bad = rollouts.Evidence(), rollouts.Evidence(), 0.0, 0, 0
-    rng = random.Random(5)
+    judge, rng = trials.TrialJudge(), random.Random(5)
     for step in range(int(seconds * 10)):
         age = step / 10
         share = rollouts.STAGE_SHARES[rollout.stage]
@@ -41,11 +41,14 @@
                 trial, bad = trial.plus(result), bad + failed + slow
             else:
                 usual = usual.plus(rollouts.Evidence(1, failed, slow, 1))
-        verdict = rollouts.decide(rollout, trial, usual, age, age - stage_at, canary_share)
-        if verdict is not None:
-            if verdict.stage != rollout.stage:
+        judge.update({"": trial}, {"": usual})
+        fault = judge.find_fault(True) or rollouts.find_fault(trial, usual)
+        verdict = rollouts.Verdict(fault)
+        decision = rollouts.decide(rollout, verdict, age, age - stage_at, canary_share)
+        if decision is not None:
+            if decision.stage != rollout.stage:
                 stage_at = age
-            rollout = rollout._replace(state=verdict.state, stage=verdict.stage)
+            rollout = rollout._replace(state=decision.state, stage=decision.stage)
         if rollout.state in ("reverted", "completed"):
             return rollout.state, bad, age
     return rollout.state, bad, seconds
@@ -265,14 +268,14 @@
 def step_never_quick(context, count):
     """Check trials whose share of slow streams equals that of the old version."""
     trial = rollouts.Evidence(40, 0, count // 3, count, count, 0)
-    assert rollouts.should_roll_back(trial, LOADED_EVIDENCE)
-    assert not rollouts.should_roll_back(trial._replace(quick=1), LOADED_EVIDENCE)
+    assert rollouts.find_fault(trial, LOADED_EVIDENCE)
+    assert not rollouts.find_fault(trial._replace(quick=1), LOADED_EVIDENCE)
 
 
 @then("few streams without a quick one are not sufficient evidence")
 def step_few_streams(context):
     """Check a trial whose few streams may all have had long prompts."""
-    assert not rollouts.should_roll_back(rollouts.Evidence(20, 0, 1, 5, 5, 0), LOADED_EVIDENCE)
+    assert not rollouts.find_fault(rollouts.Evidence(20, 0, 1, 5, 5, 0), LOADED_EVIDENCE)
 
 
 @then("a request that no engine has run is refused after an eighth of its target at most")
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import baselines, rollouts
+from berylrock.ops import baselines, rollouts, trials
 
 STEP_S = 0.1
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
@@ -89,6 +89,7 @@
         self._loads = LOADS if loads is None else loads
         self._rollout = routing.Rollout("plain", "v2", duration_s, "new", 0, 1)
         self._results = {"v1": {}, "v2": {}}
+        self._judge = trials.TrialJudge()
         self._baselines = baselines.LatencyBaselines()
         self._stage_at = 0.0
         self.exposed = self.requests = self.bad = 0
@@ -149,8 +150,14 @@
 
     def _decide(self, age_s):
         trial, stable = (self._total(version) for version in ("v2", "v1"))
+        self._judge.update(self._results["v2"], self._results["v1"])
+        fault = self._judge.find_fault(False) or rollouts.find_fault(trial, stable)
         decision = rollouts.decide(
-            self._rollout, trial, stable, age_s, age_s - self._stage_at, CANARY_SHARE
+            self._rollout,
+            rollouts.Verdict(fault),
+            age_s,
+            age_s - self._stage_at,
+            CANARY_SHARE,
         )
         if decision is None:
             return
