Recognise slow answers of a plain service by what is usual on their route

Cause: no answer under 0.25 s counted as slow, although a plain service answers in some 30 ms, so of answers eight times slower than usual only the longest counted; and calls that always last longer than their timeout counted as slow on both versions, in one sum over all routes.

Change: the bound is 0.06 s, and a plain service's slow answers are tested by route, like its errors. Streams are not, as a new version has no prompt caches yet.

--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -26,8 +26,8 @@
       vetoed_at: Time at which the version was first known to be bad; None if it is not.
     """
 
-    def __init__(self, rollout: routing.Rollout, now: float) -> None:
-        self.judge = trials.TrialJudge()
+    def __init__(self, rollout: routing.Rollout, streams: bool, now: float) -> None:
+        self.judge = trials.TrialJudge(streams)
         self.clock = rolloutclock.RolloutClock(rollout, now, time.time() * MS_PER_S)
         self.backoff = backoff.Backoff(FIRST_PAUSE_S, MAX_PAUSE_S)
         self.retry_at = 0.0
@@ -71,7 +71,8 @@
     def _progress_of(self, rollout: routing.Rollout, now: float) -> _Progress:
         progress = self._progress.get(rollout.service)
         if progress is None or not progress.clock.is_for(rollout):
-            progress = self._progress[rollout.service] = _Progress(rollout, now)
+            streams = self._ctx.runs_models(rollout.service)
+            progress = self._progress[rollout.service] = _Progress(rollout, streams, now)
             self._ctx.evidence.discard(rollout.service)
         progress.clock.observe(rollout, now)
         return progress
@@ -82,9 +83,7 @@
         trial, stable = self._versions_of(rollout)
         total, usual = ctx.evidence.total(trial), ctx.evidence.total(stable)
         progress.judge.update(ctx.evidence.by_route(trial), ctx.evidence.by_route(stable))
-        service = ctx.table.services.get(rollout.service) if ctx.table is not None else None
-        streams = service is not None and service.token_capacity > 0
-        fault = progress.judge.find_fault(streams) or rollouts.find_fault(total, usual)
+        fault = progress.judge.find_fault() or rollouts.find_fault(total, usual)
         return rollouts.Verdict(fault, total, usual)
 
     def _versions_of(
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -197,6 +197,11 @@
         self._plans[service] = (basis, plan)
         return plan
 
+    def runs_models(self, service: str) -> bool:
+        """Tell whether a service's engines run models; a plain service's do not."""
+        found = self.table.services.get(service) if self.table is not None else None
+        return found is not None and found.token_capacity > 0
+
     def services_in_rollout(self) -> set[str]:
         """Return the services that have a rollout in progress."""
         return {item.service for item in self.rollouts.values() if item.state == "running"}
--- a/berylrock/ops/baselines.py
+++ b/berylrock/ops/baselines.py
@@ -16,8 +16,8 @@
 QUICK_RATIO = 2.0
 # The shortest time between events grows by this factor with each sample, so that old minima expire.
 MINIMUM_GROWTH = 1.003
-# Shorter times are never slow.
-MIN_SLOW_FIRST_PART_S = 0.25
+# Shorter times are never slow. A plain service may answer within some ten milliseconds.
+MIN_SLOW_FIRST_PART_S = 0.06
 MIN_SLOW_EVENT_GAP_S = 0.03
 
 
--- a/berylrock/ops/trials.py
+++ b/berylrock/ops/trials.py
@@ -15,9 +15,9 @@
 # A bad version makes at least this share of the otherwise good responses bad.
 FAULT_SHARE = 0.45
 # Share of bad responses of the stable version: counts that are assumed before any response, and the
-# smallest share, as connections and engines fail on their own.
+# smallest shares, as connections fail and engines are busy now and then.
 PRIOR_BAD, PRIOR_RESPONSES = 0.5, 10.0
-MIN_USUAL_SHARE = 0.01
+MIN_USUAL_ERRORS, MIN_USUAL_SLOW = 0.01, 0.03
 # On a route on which most responses are bad, a fault does not show.
 MAX_USUAL_SHARE = 0.6
 # Logarithms of likelihood ratios: the version counts as bad from the first one on; the second one
@@ -25,6 +25,7 @@
 FAULT_SCORE, LOWEST_SCORE = 6.0, -3.0
 # An engine that crashes fails all that it was running, which is more for streams.
 MIN_BAD_PLAIN, MIN_BAD_STREAMS = 3, 5
+MIN_SLOW_PLAIN = 4
 
 
 class _RouteTest:
@@ -58,16 +59,24 @@
         self.score += new_bad * math.log(fault_share / usual_share)
 
 
-def _usual_share(bad: int, responses: int) -> float:
+def _usual_share(bad: int, responses: int, smallest: float) -> float:
     """Estimate the stable version's share of bad responses."""
-    return max(MIN_USUAL_SHARE, (bad + PRIOR_BAD) / (responses + PRIOR_RESPONSES))
+    return max(smallest, (bad + PRIOR_BAD) / (responses + PRIOR_RESPONSES))
 
 
 class TrialJudge:
     """Judges one version on trial; each gateway judges the results of all gateways."""
 
-    def __init__(self) -> None:
+    def __init__(self, streams: bool) -> None:
+        """Create a judge without results.
+
+        Args:
+          streams: Whether the service's responses are streams. Their times depend on prompts and
+            caches, which a version on trial does not have yet, so they are not compared by route.
+        """
+        self._streams = streams
         self._errors: dict[str, _RouteTest] = {}
+        self._slow: dict[str, _RouteTest] = {}
 
     def update(
         self, trial: dict[str, rollouts.Evidence], stable: dict[str, rollouts.Evidence]
@@ -80,18 +89,23 @@
         """
         for route, found in trial.items():
             usual = stable.get(route, rollouts.Evidence())
-            share = _usual_share(usual.errors, usual.answers)
+            share = _usual_share(usual.errors, usual.answers, MIN_USUAL_ERRORS)
             test = self._errors.setdefault(route, _RouteTest())
             test.update(found.errors, found.answers - found.errors, share)
-
-    def find_fault(self, streams: bool) -> str:
-        """Return on which route the version is bad, for the log; empty if it is on none.
-
-        Args:
-          streams: Whether the service's responses are streams.
-        """
-        min_bad = MIN_BAD_STREAMS if streams else MIN_BAD_PLAIN
-        for route, test in self._errors.items():
-            if test.bad >= min_bad and test.score >= FAULT_SCORE:
-                return f"errors on {route}, score {test.score:.1f}"
+            if self._streams:
+                continue
+            share = _usual_share(usual.slow, usual.timed, MIN_USUAL_SLOW)
+            test = self._slow.setdefault(route, _RouteTest())
+            test.update(found.slow, found.timed - found.slow, share)
+
+    def find_fault(self) -> str:
+        """Return on which route the version is bad, for the log; empty if it is on none."""
+        min_errors = MIN_BAD_STREAMS if self._streams else MIN_BAD_PLAIN
+        for what, tests, min_bad in (
+            ("errors", self._errors, min_errors),
+            ("slow", self._slow, MIN_SLOW_PLAIN),
+        ):
+            for route, test in tests.items():
+                if test.bad >= min_bad and test.score >= FAULT_SCORE:
+                    return f"{what} on {route}, score {test.score:.1f}"
         return ""
--- a/features/steps/gateway_trial_steps.py
+++ b/features/steps/gateway_trial_steps.py
@@ -62,12 +62,12 @@
 
 def judge_routes(trial, stable, streams=False):
     """Return the fault that is found from pairs of errors and answers by route."""
-    judge = trials.TrialJudge()
+    judge = trials.TrialJudge(streams)
     judge.update(
         {route: rollouts.Evidence(answers, errors) for route, (errors, answers) in trial.items()},
         {route: rollouts.Evidence(answers, errors) for route, (errors, answers) in stable.items()},
     )
-    return judge.find_fault(streams)
+    return judge.find_fault()
 
 
 @then("3 errors in 6 answers are a fault where the old version has none, whatever fails elsewhere")
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -28,7 +28,7 @@
     """
     rollout = routing.Rollout("models", "v2", seconds, "running", 0, 1)
     trial, usual, stage_at, number, bad = rollouts.Evidence(), rollouts.Evidence(), 0.0, 0, 0
-    judge, rng = trials.TrialJudge(), random.Random(5)
+    judge, rng = trials.TrialJudge(streams=True), random.Random(5)
     for step in range(int(seconds * 10)):
         age = step / 10
         share = rollouts.STAGE_SHARES[rollout.stage]
@@ -42,7 +42,7 @@
             else:
                 usual = usual.plus(rollouts.Evidence(1, failed, slow, 1))
         judge.update({"": trial}, {"": usual})
-        fault = judge.find_fault(True) or rollouts.find_fault(trial, usual)
+        fault = judge.find_fault() or rollouts.find_fault(trial, usual)
         verdict = rollouts.Verdict(fault)
         decision = rollouts.decide(rollout, verdict, age, age - stage_at, canary_share)
         if decision is not None:
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -89,7 +89,7 @@
         self._loads = LOADS if loads is None else loads
         self._rollout = routing.Rollout("plain", "v2", duration_s, "new", 0, 1)
         self._results = {"v1": {}, "v2": {}}
-        self._judge = trials.TrialJudge()
+        self._judge = trials.TrialJudge(streams=False)
         self._baselines = baselines.LatencyBaselines()
         self._stage_at = 0.0
         self.exposed = self.requests = self.bad = 0
@@ -151,7 +151,7 @@
     def _decide(self, age_s):
         trial, stable = (self._total(version) for version in ("v2", "v1"))
         self._judge.update(self._results["v2"], self._results["v1"])
-        fault = self._judge.find_fault(False) or rollouts.find_fault(trial, stable)
+        fault = self._judge.find_fault() or rollouts.find_fault(trial, stable)
         decision = rollouts.decide(
             self._rollout,
             rollouts.Verdict(fault),
