Count the errors of one request once for each version

Change: a second error of the same request on the same version is no evidence. Ruled out: dropping later successes as well; an engine that fails part of what it runs would then look worse than it is.

The new step fails without the change.

--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -7,7 +7,7 @@
 from berylrock.adapters import http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import attempt, context, pool, responding, sending
-from berylrock.ops import baselines, enginestate, rollouts, timeouts
+from berylrock.ops import baselines, enginestate, evidence, rollouts, timeouts
 
 __all__ = ["Forwarding"]
 
@@ -39,6 +39,7 @@
         self.req = req
         self.responder = responder
         self._held = 0
+        self._errors = evidence.RequestErrors()
 
     @property
     def now(self) -> float:
@@ -96,7 +97,12 @@
         slow = good and self._record_timing(version, first_part_s)
         # Fields: answers, errors, slow, timed.
         result = rollouts.Evidence(1, int(not good), int(slow), int(good))
-        self.ctx.add_evidence(self.req, version, result)
+        self._add_evidence(version, result)
+
+    def _add_evidence(self, version: str, result: rollouts.Evidence) -> None:
+        """Add the result of an attempt to the evidence about a version, if it says anything new."""
+        if self._errors.is_new(version, result):
+            self.ctx.add_evidence(self.req, version, result)
 
     def _record_timing(self, version: str, first_part_s: float) -> bool:
         """Record the time of a response, and return whether it was slow.
@@ -135,7 +141,7 @@
             timed_out = failure.reason == attempt.TIMED_OUT
             # Fields: answers, errors, slow, timed.
             result = rollouts.Evidence(1, int(not timed_out), int(timed_out), int(timed_out))
-            self.ctx.add_evidence(self.req, state.engine.version, result)
+            self._add_evidence(state.engine.version, result)
         self._log_attempt_failed(state, failure.reason, failure.may_have_run)
 
     def _log_attempt_failed(
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -182,7 +182,7 @@
         version = opened.attempt.state.engine.version
         # The time to the first event alone can show that a stream is slow, but not that it is not.
         result = rollouts.Evidence(1, slow=int(slow), timed=int(slow))
-        self.ctx.add_evidence(self.req, version, result)
+        self._add_evidence(version, result)
         self.ctx.log.write(
             "step_up",
             request=self.req.head.id,
@@ -302,7 +302,7 @@
             # Fields: answers, errors, slow, timed, paced, quick. Without a measured time between
             # events, a stream counts as timed only if it was slow.
             result = rollouts.Evidence(1, 0, int(slow), int(slow or paced), int(paced), int(quick))
-            self.ctx.add_evidence(self.req, state.engine.version, result)
+            self._add_evidence(state.engine.version, result)
             opened.attempt.end_complete(opened.head)
         else:
             self.record_result(opened, False, timing.first_part_s)
--- a/berylrock/ops/evidence.py
+++ b/berylrock/ops/evidence.py
@@ -13,6 +13,7 @@
 __all__ = [
     "EvidenceByKey",
     "EvidencePool",
+    "RequestErrors",
     "ResultKey",
     "VersionKey",
     "busiest",
@@ -118,6 +119,26 @@
     )
 
 
+class RequestErrors:
+    """Versions on which one request has failed already.
+
+    Many errors belong to the request and come again on each engine. A retry that fails on the same
+    version says nothing new about it.
+    """
+
+    def __init__(self) -> None:
+        self._failed_on: set[str] = set()
+
+    def is_new(self, version: str, result: rollouts.Evidence) -> bool:
+        """Tell whether a result of the request counts as evidence about a version."""
+        if not result.errors:
+            return True
+        if version in self._failed_on:
+            return False
+        self._failed_on.add(version)
+        return True
+
+
 class EvidencePool:
     """Results of this gateway and the last report of each other gateway.
 
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -184,6 +184,7 @@
   Scenario: Gateways pool their results on a version on trial
     Then results of several gateways are summed, from datagrams as well as from records
     And the lower counts of a restarted gateway do not replace its earlier ones
+    And a request that fails twice on a version counts once, and a later success counts as well
     And each route has its own results, and a message carries those with the most answers
 
   Scenario: One gateway queries the store and the others rely on its reports
--- a/features/steps/gateway_gossip_steps.py
+++ b/features/steps/gateway_gossip_steps.py
@@ -140,6 +140,17 @@
     assert evidence.decode_results(evidence.encode_results(pool.own)) == pool.own
 
 
+@then("a request that fails twice on a version counts once, and a later success counts as well")
+def step_request_errors(context):
+    """Check a request that is sent to four engines of two versions."""
+    found = evidence.RequestErrors()
+    error, good = rollouts.Evidence(1, 1), rollouts.Evidence(1, 0, 0, 1)
+    assert found.is_new("v2", error)
+    assert not found.is_new("v2", error)
+    assert found.is_new("v1", error)
+    assert found.is_new("v2", good)
+
+
 @then("the lower counts of a restarted gateway do not replace its earlier ones")
 def step_restarted_counts(context):
     """Check that a restart, which resets the counts to 0, loses no evidence.
