--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -158,6 +158,16 @@
     Given 200 rollouts whose new version is good
     Then 95 in 100 at least are completed, and 75 in 100 before the deadline
 
+  # Guards against a slow version of a model service that is completed after a dozen streams.
+  @failure.bad_version
+  Scenario: A model service's version that is slow is rolled back
+    Given 200 rollouts of models whose new version answers half of all requests slowly
+    Then none is completed, and no new version receives more requests than allowed
+
+  Scenario: A good version of a model service is completed
+    Given 200 rollouts of models whose new version is good
+    Then 95 in 100 at least are completed, and 75 in 100 before the deadline
+
   Scenario: Answers of a slow version are recognised as slow, also where the usual ones are quick
     Then an answer 8 times slower than 30 ms is slow and one 2 times slower is not
 
--- a/features/steps/gateway_trial_steps.py
+++ b/features/steps/gateway_trial_steps.py
@@ -16,19 +16,35 @@
 def step_one_kind_fails(context, count, kind, seconds):
     """Simulate a fault on one route."""
     fault = rolloutsim.Fault((kind,), 0.5, after_s=seconds)
-    context.outcomes = rolloutsim.run_many(fault, count)
+    context.outcomes = rolloutsim.run_many(rolloutsim.PlainSimulation, fault, count)
 
 
 @given("{count:d} rollouts whose new version answers half of all requests {x:g} times slower")
 def step_slow(context, count, x):
     """Simulate a slow version."""
-    context.outcomes = rolloutsim.run_many(rolloutsim.Fault(ALL_ROUTES, 0.5, x), count)
+    context.outcomes = rolloutsim.run_many(
+        rolloutsim.PlainSimulation, rolloutsim.Fault(ALL_ROUTES, 0.5, x), count
+    )
+
+
+@given("{count:d} rollouts of models whose new version answers half of all requests slowly")
+def step_slow_streams(context, count):
+    """Simulate a slow version of a model service."""
+    fault = rolloutsim.Fault(tuple(rolloutsim.StreamSimulation.PER_S), 0.5, 8.0)
+    context.outcomes = rolloutsim.run_many(rolloutsim.StreamSimulation, fault, count)
+
+
+@given("{count:d} rollouts of models whose new version is good")
+def step_good_streams(context, count):
+    """Simulate sound versions of a model service."""
+    fault = rolloutsim.Fault()
+    context.outcomes = rolloutsim.run_many(rolloutsim.StreamSimulation, fault, count)
 
 
 @given("{count:d} rollouts whose new version is good")
 def step_good(context, count):
     """Simulate sound versions."""
-    context.outcomes = rolloutsim.run_many(rolloutsim.Fault(), count)
+    context.outcomes = rolloutsim.run_many(rolloutsim.PlainSimulation, rolloutsim.Fault(), count)
 
 
 @then("none is completed, and no new version receives more requests than allowed")
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -1,8 +1,8 @@
-"""Simulates rollouts of plain services with several kinds of requests, without a network.
+"""Simulates rollouts of services with several kinds of requests, without a network.
 
-Load pattern: a dozen requests a second, of which one kind hardly ever fails, one fails in one of
-seven answers on sound versions, one always lasts longer than its timeout, and one is answered at
-once.
+Load pattern of plain services: a dozen requests a second, of which one kind hardly ever fails, one
+fails in one of seven answers on sound versions, one always lasts longer than its timeout, and one
+is answered at once.
 """
 
 import random
@@ -82,30 +82,34 @@
 
 
 class Simulation:
-    """One rollout with a seed, and the traffic beside it."""
+    """One rollout with a seed, and the traffic beside it.
+
+    Subclasses serve the requests.
+    """
+
+    STREAMS = False
 
     def __init__(self, seed, fault, duration_s=15.0, loads=None):
         self._rng = random.Random(seed)
         self._fault = fault
         self._loads = LOADS if loads is None else loads
-        self._rollout = routing.Rollout("plain", "v2", duration_s, "new", 0, 1)
+        self._rollout = routing.Rollout("service", "v2", duration_s, "new", 0, 1)
         self._results = {"v1": {}, "v2": {}}
         self._sampling = {}
-        self._judge = trials.TrialJudge(streams=False)
-        self._baselines = baselines.LatencyBaselines()
+        self._judge = trials.TrialJudge(self.STREAMS)
         self._stage_at = 0.0
         self.exposed = self.requests = self.bad = 0
 
     def run(self):
         """Run to the rollout's deadline, or longer while it has not ended."""
         for _ in range(50):
-            self._serve_step(-1.0)
+            self.serve_step(-1.0)
         self._results = {"v1": {}, "v2": {}}
         self.exposed = self.requests = 0
         deadline_s, age_s, in_time = self._rollout.duration_s, 0.0, False
         while age_s < deadline_s or (self._running and age_s < deadline_s + OVERTIME_S):
             before = self.exposed, self.requests
-            self._serve_step(age_s)
+            self.serve_step(age_s)
             if age_s >= deadline_s:
                 self.exposed, self.requests = before
             if self._running:
@@ -123,39 +127,30 @@
             return rollouts.STAGE_SHARES[self._rollout.stage]
         return 1.0 if self._rollout.state == "completed" else 0.0
 
-    def _serve_step(self, age_s):
-        for name, load in self._loads.items():
-            arrivals = int(load.per_s * STEP_S + self._rng.random())
-            for _ in range(arrivals):
-                self._answer(name, load, age_s)
-
-    def _answer(self, name, load, age_s):
-        self.requests += 1
+    def _is_on_trial(self, name):
+        """Choose the version of the next request of a route, and count the request."""
         on_trial = self._rng.random() < max(self._share(), self._sampling.get(name, 0.0))
-        failed = self._rng.random() < load.error_share
-        seconds = load.usual_s * self._rng.lognormvariate(0.0, 0.5)
+        self.requests += 1
+        self.exposed += on_trial
+        return on_trial
+
+    def _is_bad(self, name, on_trial, age_s):
+        """Choose whether the next answer is bad, and count it."""
         fault = self._fault
-        if on_trial:
-            self.exposed += 1
-            affected = name in fault.routes and age_s >= fault.after_s
-            if affected and self._rng.random() < fault.share:
-                self.bad += 1
-                failed = failed or not fault.slowdown
-                seconds *= fault.slowdown or 1.0
-        timing = baselines.Timing(seconds, 0.0)
-        slow = not failed and self._baselines.is_slow(name, "", timing)
-        if not on_trial and not failed:
-            self._baselines.record(name, "", timing)
+        affected = on_trial and name in fault.routes and age_s >= fault.after_s
+        bad = affected and self._rng.random() < fault.share
+        self.bad += bad
+        return bad
+
+    def _record(self, name, on_trial, result):
         found = self._results["v2" if on_trial else "v1"]
-        result = rollouts.Evidence(1, int(failed), int(slow), int(not failed))
         found[name] = found.get(name, rollouts.Evidence()).plus(result)
 
     def _decide(self, age_s):
         trial, stable = self._results["v2"], self._results["v1"]
         self._judge.update(trial, stable)
-        fault = self._judge.find_fault() or rollouts.find_fault(
-            self._total("v2"), trials.reweigh(trial, stable)
-        )
+        usual = self._total("v1") if self.STREAMS else trials.reweigh(trial, stable)
+        fault = self._judge.find_fault() or rollouts.find_fault(self._total("v2"), usual)
         decision = rollouts.decide(
             self._rollout,
             rollouts.Verdict(fault, self._judge.find_doubt()),
@@ -180,6 +175,62 @@
         return result
 
 
-def run_many(fault, count, **options):
+class PlainSimulation(Simulation):
+    """Rollout of a plain service."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._baselines = baselines.LatencyBaselines()
+
+    def serve_step(self, age_s):
+        """Serve the requests of one step of time."""
+        for name, load in self._loads.items():
+            for _ in range(int(load.per_s * STEP_S + self._rng.random())):
+                self._answer(name, load, age_s)
+
+    def _answer(self, name, load, age_s):
+        on_trial = self._is_on_trial(name)
+        failed = self._rng.random() < load.error_share
+        seconds = load.usual_s * self._rng.lognormvariate(0.0, 0.5)
+        if self._is_bad(name, on_trial, age_s):
+            failed = failed or not self._fault.slowdown
+            seconds *= self._fault.slowdown or 1.0
+        timing = baselines.Timing(seconds, 0.0)
+        slow = not failed and self._baselines.is_slow(name, "", timing)
+        if not on_trial and not failed:
+            self._baselines.record(name, "", timing)
+        result = rollouts.Evidence(1, int(failed), int(slow), int(not failed))
+        self._record(name, on_trial, result)
+
+
+class StreamSimulation(Simulation):
+    """Rollout of a model service.
+
+    Load pattern: 25 requests a second on three routes, of which two in five have enough events to
+    measure their pace; of those, load leaves 72 in 100 quick.
+    """
+
+    STREAMS = True
+    PER_S = {"dossier": 4.5, "label": 8.5, "summary": 12.0}
+    PACED = {"dossier": 0.85, "label": 0.6, "summary": 0.15}
+    QUICK_SHARE, SLOW_SHARE = 0.72, 0.12
+
+    def serve_step(self, age_s):
+        """Serve the requests of one step of time."""
+        for name, per_s in self.PER_S.items():
+            for _ in range(int(per_s * STEP_S + self._rng.random())):
+                self._answer(name, age_s)
+
+    def _answer(self, name, age_s):
+        on_trial = self._is_on_trial(name)
+        paced = self._rng.random() < self.PACED[name]
+        bad = self._is_bad(name, on_trial, age_s)
+        quick = paced and not bad and self._rng.random() < self.QUICK_SHARE
+        slow = paced and not quick and (bad or self._rng.random() < self.SLOW_SHARE)
+        result = rollouts.Evidence(1, 0, int(slow), int(paced), int(paced), int(quick))
+        self._record(name, on_trial, result)
+
+
+def run_many(kind, fault, count, **options):
     """Simulate rollouts with the seeds from 0 to ``count`` and return their outcomes."""
-    return [Simulation(seed, fault, **options).run() for seed in range(count)]
+    return [kind(seed, fault, **options).run() for seed in range(count)]
