Begin the second stage of a model service's rollout earlier, and wait for its pace

Cause: the same class as for plain services, no evidence taken for soundness: 21 answers in 14 s, of which six had enough events to time them. Sessions have to stay on a version in the first half of a rollout, so they can't be sampled by route.

Change: the second stage (20 % of the sessions) begins as soon as the first half is over, if the operators' margin allows it at the present rate of requests, in place of 1.4 s before the last stage. Streams are tested like slow plain answers, by how many of them were not quick, over all routes, and a rollout waits for that test. Turned down: a larger share in the first stage; sessions that reach another gateway would change their version three times as often.

--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -111,7 +111,7 @@
         now: float,
     ) -> None:
         """Log once for each stage that the rollout waits although its time has come."""
-        due = rollouts.make_schedule(rollout.duration_s, self._ctx.cfg.bounds.canary_share)
+        due = self._schedule(rollout)
         age_s = progress.clock.age_s(now)
         if rollout.stage == 0 or age_s < due.last or progress.held_stage == rollout.stage:
             return
@@ -178,9 +178,18 @@
             verdict,
             progress.clock.age_s(now) - delay_s,
             progress.clock.stage_s(now) - delay_s,
-            ctx.cfg.bounds.canary_share,
+            self._schedule(rollout),
         )
 
+    def _schedule(self, rollout: routing.Rollout) -> rollouts.Schedule:
+        """Return the start times of a rollout's stages at the current rate of requests."""
+        ctx, service = self._ctx, rollout.service
+        bounds = ctx.cfg.bounds
+        margin_s = trials.second_stage_margin_s(
+            ctx.runs_models(service), ctx.request_rate(service), bounds
+        )
+        return rollouts.make_schedule(rollout.duration_s, bounds.canary_share, margin_s)
+
     async def _write(self, wanted: routing.Rollout) -> str:
         """Write a rollout's status.
 
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -187,6 +187,12 @@
         """Return the retry budget of a service."""
         return self.budgets.setdefault(service, budget.WindowBudget())
 
+    def request_rate(self, service: str) -> float:
+        """Return the requests per second for a service at all gateways."""
+        now, window_s = asyncio.get_running_loop().time(), self.cfg.bounds.retry_window_s
+        others = self.load_view.peer_usage(service, now)
+        return self.budget_for(service).rate(now, window_s, others)
+
     def plan_for(self, service: str) -> rollouts.Plan:
         """Return which versions of a service may get requests now."""
         rollout = self.rollouts.get(service)
--- a/berylrock/ops/budget.py
+++ b/berylrock/ops/budget.py
@@ -81,6 +81,21 @@
                 times.popleft()
         return RetryUsage(len(self._requests), len(self._retries))
 
+    def rate(self, now: float, window_s: float, others: RetryUsage) -> float:
+        """Return the requests per second at all gateways.
+
+        Args:
+          now: Time in seconds.
+          window_s: Length of the window, in seconds.
+          others: Usage that the other gateways reported recently.
+
+        Returns:
+          The mean over the window, or since this gateway's first request if that is later.
+        """
+        own = self.usage(now, window_s)
+        since_s = now - self._requests[0] if self._requests else window_s
+        return (own.requests + others.requests) / max(1.0, min(window_s, since_s))
+
     def allows(self, now: float, limits: RetryLimits, reserve: float = 0.0) -> bool:
         """Tell whether a retry is allowed that keeps a reserve of the budget.
 
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -325,19 +325,21 @@
     return trial.slow - usual_slow_share * trial.timed > SLOW_DEVIATIONS * spread
 
 
-def make_schedule(duration_s: float, canary_share: float) -> Schedule:
+def make_schedule(duration_s: float, canary_share: float, margin_s: float = 0.0) -> Schedule:
     """Compute the start times of the stages, so that a bad version stays within its share.
 
     Args:
       duration_s: Time from the order to its deadline, in seconds.
       canary_share: Largest share of the requests in that time that a bad version may receive.
+      margin_s: Requests beyond that share that the second stage may use, expressed in seconds of
+        the service's whole traffic.
 
     Returns:
       The schedule.
     """
     exposure_s = canary_share * duration_s
     last = duration_s - LAST_STAGE_EXPOSURE_SHARE * exposure_s
-    second = last - SECOND_STAGE_EXPOSURE_SHARE * exposure_s / STAGE_SHARES[1]
+    second = last - (SECOND_STAGE_EXPOSURE_SHARE * exposure_s + margin_s) / STAGE_SHARES[1]
     half = FIRST_STAGE_TIME_SHARE * duration_s
     return Schedule(max(second, half), max(last, half), duration_s - COMPLETION_MARGIN_S)
 
@@ -362,7 +364,7 @@
     verdict: Verdict,
     age_s: float,
     stage_s: float,
-    canary_share: float,
+    due: Schedule,
 ) -> Decision | None:
     """Decide whether a rollout changes its state or stage.
 
@@ -371,8 +373,7 @@
       verdict: What the results of all gateways say about the target version.
       age_s: Time since the order, less this gateway's delay, in seconds.
       stage_s: Time since this gateway first saw the stage, less this gateway's delay, in seconds.
-      canary_share: Largest share of the requests before the deadline that a bad version may
-        receive.
+      due: Start times of the stages.
 
     Returns:
       The change to write; None if the status stays.
@@ -385,7 +386,6 @@
         )
     if rollout.state == "new":
         return Decision("running", 0, "rollout started") if age_s >= 0.0 else None
-    due = make_schedule(rollout.duration_s, canary_share)
     if rollout.stage == 0:
         return Decision("running", 1, "no fault found") if age_s >= due.second else None
     if is_held(rollout, verdict, age_s):
--- a/berylrock/ops/trials.py
+++ b/berylrock/ops/trials.py
@@ -17,7 +17,7 @@
 from berylrock.core import routing
 from berylrock.ops import rollouts
 
-__all__ = ["TrialJudge", "reweigh", "sampling_shares"]
+__all__ = ["TrialJudge", "reweigh", "sampling_shares", "second_stage_margin_s"]
 
 # A bad version makes at least this share of the otherwise good responses bad.
 FAULT_SHARE = 0.4
@@ -53,7 +53,7 @@
 # Share of the time until the second stage in which the responses are collected.
 COLLECTION_SHARE = 0.85
 # Share of the requests that a version may get beyond its share which goes to sampling.
-SAMPLING_MARGIN_SHARE = 0.75
+SAMPLING_MARGIN_SHARE = 0.7
 
 
 class _Counts(NamedTuple):
@@ -185,6 +185,12 @@
     return (bad + PRIOR_RESPONSES * overall) / (responses + PRIOR_RESPONSES)
 
 
+def _count_not_quick(found: dict[str, rollouts.Evidence]) -> _Counts:
+    """Count the streams whose pace was measured, and those among them that were not quick."""
+    paced = sum(item.paced for item in found.values())
+    return _Counts(paced - sum(item.quick for item in found.values()), paced)
+
+
 class TrialJudge:
     """Judges one version on trial; each gateway judges the results of all gateways.
 
@@ -202,9 +208,11 @@
         self.streams = streams
         self._errors: dict[str, _RouteTest] = {}
         self._slow: dict[str, _RouteTest] = {}
+        self._pace = _RouteTest()
         self._trial: dict[str, rollouts.Evidence] = {}
         self._stable: dict[str, rollouts.Evidence] = {}
         self._answers: dict[str, int] = {}
+        self._paced = False
 
     def update(
         self, trial: dict[str, rollouts.Evidence], stable: dict[str, rollouts.Evidence]
@@ -228,6 +236,7 @@
                 MIN_USUAL_ERRORS,
             )
             if not self.streams:
+                # Times of streams depend on prompts and caches, their pace does not.
                 self._update_test(
                     self._slow,
                     route,
@@ -236,6 +245,18 @@
                     MIN_USUAL_SLOW,
                 )
 
+        self._update_pace(trial, stable)
+
+    def _update_pace(
+        self, trial: dict[str, rollouts.Evidence], stable: dict[str, rollouts.Evidence]
+    ) -> None:
+        """Count the streams that were not quick, on all routes; each has a pace of its own."""
+        usual = _count_not_quick(stable)
+        if usual.responses >= MIN_USUAL_RESPONSES:
+            share = (usual.bad + PRIOR_BAD) / (usual.responses + PRIOR_RESPONSES)
+            self._pace.update(_count_not_quick(trial), max(MIN_USUAL_SLOW, share))
+            self._paced = True
+
     @staticmethod
     def _update_test(
         tests: dict[str, _RouteTest], route: str, trial: _Counts, usual: _Counts, smallest: float
@@ -255,6 +276,8 @@
             for route, test in tests.items():
                 if test.bad >= min_bad and test.score >= FAULT_SCORE:
                     return f"{what} on {route}, score {test.score:.1f}"
+        if self._pace.bad >= MIN_BAD_STREAMS and self._pace.score >= FAULT_SCORE:
+            return f"streams that are not quick, score {self._pace.score:.1f}"
         return ""
 
     def _tests(self, route: str) -> list[_RouteTest]:
@@ -266,10 +289,11 @@
     def find_doubt(self) -> str:
         """Return on which route too little is known to complete the rollout; empty if on none.
 
-        Streams get too few requests on trial for an answer; there, a fault has to show.
+        Streams get too few requests on trial to trust each route, so their pace decides.
         """
         if self.streams:
-            return ""
+            unknown = self._paced and not self._pace.is_trusted
+            return "not enough known of the pace of streams" if unknown else ""
         for route, answers in self._answers.items():
             if answers < MIN_ROUTE_ANSWERS or self._is_hopeless(route):
                 continue
@@ -317,6 +341,26 @@
         return sum(item.answers for item in self._trial.values()), sum(self._answers.values())
 
 
+def second_stage_margin_s(streams: bool, per_s: float, bounds: routing.Bounds) -> float:
+    """Return how much traffic beyond its share the second stage of a rollout may use.
+
+    Sessions cannot be sampled by route. The second stage, in which sessions may change their
+    version, begins earlier instead.
+
+    Args:
+      streams: Whether the service's responses are streams.
+      per_s: Requests per second for the service at all gateways.
+      bounds: Limits on what a bad version may receive before the deadline.
+
+    Returns:
+      The margin in seconds of the service's whole traffic; 0 for a plain service, whose sampling
+      uses it.
+    """
+    if not streams or per_s <= 0.0:
+        return 0.0
+    return SAMPLING_MARGIN_SHARE * bounds.canary_margin / per_s
+
+
 def sampling_shares(
     judge: TrialJudge, age_s: float, duration_s: float, bounds: routing.Bounds
 ) -> dict[str, float]:
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -28,6 +28,7 @@
     """
     rollout = routing.Rollout("models", "v2", seconds, "running", 0, 1)
     trial, usual, stage_at, number, bad = rollouts.Evidence(), rollouts.Evidence(), 0.0, 0, 0
+    due = rollouts.make_schedule(seconds, canary_share)
     judge, rng = trials.TrialJudge(streams=True), random.Random(5)
     for step in range(int(seconds * 10)):
         age = step / 10
@@ -44,7 +45,7 @@
         judge.update({"": trial}, {"": usual})
         fault = judge.find_fault() or rollouts.find_fault(trial, usual)
         verdict = rollouts.Verdict(fault)
-        decision = rollouts.decide(rollout, verdict, age, age - stage_at, canary_share)
+        decision = rollouts.decide(rollout, verdict, age, age - stage_at, due)
         if decision is not None:
             if decision.stage != rollout.stage:
                 stage_at = age
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -147,6 +147,10 @@
         found[name] = found.get(name, rollouts.Evidence()).plus(result)
 
     def _decide(self, age_s):
+        duration_s = self._rollout.duration_s
+        margin_s = trials.second_stage_margin_s(
+            self.STREAMS, self.requests / max(1.0, age_s), BOUNDS
+        )
         trial, stable = self._results["v2"], self._results["v1"]
         self._judge.update(trial, stable)
         usual = self._total("v1") if self.STREAMS else trials.reweigh(trial, stable)
@@ -156,9 +160,8 @@
             rollouts.Verdict(fault, self._judge.find_doubt()),
             age_s,
             age_s - self._stage_at,
-            CANARY_SHARE,
+            rollouts.make_schedule(duration_s, CANARY_SHARE, margin_s),
         )
-        duration_s = self._rollout.duration_s
         self._sampling = trials.sampling_shares(self._judge, age_s, duration_s, BOUNDS)
         if decision is None:
             return
