Log what an engine was running when it crashed, by prompt part

'engine_crashed' names the engine, its requests that broke off at this gateway, how many of them it had not begun to answer, and the parts of their prompts that other requests may share. It tells hypothesis 1 (crashes are counted for whole requests) from 2 (crashes are not seen) and 3 (each gateway counts alone).

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -319,6 +319,11 @@
     last_event: int | None
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may have too; the last one is its own."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 class Request(NamedTuple):
     """Request that was admitted and may run.
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -59,6 +59,8 @@
       sent_at: When the attempt started, on the event loop's clock.
       work_ahead: Work at the engine when the request was sent, including its own.
       conn: Connection to the engine; None before it is acquired.
+      begun: Whether the engine has begun to write an answer, so that the request itself did not
+        crash it.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.sent_at = 0.0
         self.work_ahead = 0.0
         self.conn: http1.EngineConnection | None = None
+        self.begun = False
         self._ctx = ctx
         self._conns = conns
         self._req = req
@@ -213,7 +216,11 @@
         state, now = self.state, asyncio.get_running_loop().time()
         if not state.broken:
             self._ctx.timer.spawn(self._check_for_crash())
-        state.record_broken(self._req.fingerprint, now)
+        state.record_broken(
+            enginestate.BrokenRequest(
+                self._req.fingerprint, self._req.head.shared_parts, self.begun, now
+            )
+        )
 
     async def _check_for_crash(self) -> None:
         """Connect to an engine whose connections have just broken; a failure means a crash."""
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -11,6 +11,7 @@
     budget,
     buffering,
     engineset,
+    enginestate,
     evidence,
     freshness,
     latency,
@@ -146,15 +147,26 @@
         self.relay = ""
         self.watching_store.set()
 
-    def record_engine_crash(self, engine_id: str, fingerprints: list[str], now: float) -> None:
+    def record_engine_crash(
+        self, engine_id: str, broken: list[enginestate.BrokenRequest], now: float
+    ) -> None:
         """Record that an engine crashed while it ran requests.
 
         Any of the requests may have caused the crash.
         """
+        if not broken:
+            return
+        self.log.write(
+            "engine_crashed",
+            engine=engine_id,
+            requests=len(broken),
+            not_begun=sum(not item.begun for item in broken),
+            parts=",".join(sorted({part for item in broken for part in item.shared_parts})),
+        )
         # An engine may restart under the same id and crash again, so the id of a crash contains the
         # time.
         crash = f"{engine_id}@{int(time.time())}"
-        strikes_found = [message.Strike(item, crash) for item in fingerprints]
+        strikes_found = [message.Strike(item.fingerprint, crash) for item in broken]
         for strike in self.strikes.add(strikes_found, now):
             quarantined = self.strikes.is_quarantined(strike.fingerprint)
             self.meter.count("suspects")
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -21,6 +21,8 @@
 ESCALATION_RESERVE = 0.2
 DEFAULT_EVENT_GAP_S = 2.0
 MIN_TIMED_EVENTS = 4
+# An engine that crashes as it begins to write may have sent one event before.
+BEGUN_EVENTS = 2
 
 
 class StreamForwarding(forwarding.Forwarding):
@@ -274,6 +276,7 @@
             )
         self._last_event_at = now
         self._event_count += 1
+        current.begun = self._event_count >= BEGUN_EVENTS
 
     def _measure_timing(self, opened: attempt.OpenedResponse) -> baselines.Timing:
         """Return the time to the first event and the mean gap; 0 as gap if events are too few."""
--- a/berylrock/ops/enginestate.py
+++ b/berylrock/ops/enginestate.py
@@ -1,9 +1,11 @@
 """State of one engine as known to this process."""
 
+from typing import NamedTuple
+
 from berylrock.core import routing
 from berylrock.ops import health, pacing
 
-__all__ = ["EngineState"]
+__all__ = ["BrokenRequest", "EngineState"]
 
 # An engine that was unreachable, or whose zone was evacuated, may be cold when it returns.
 POSSIBLY_COLD_S = 5.0
@@ -11,6 +13,22 @@
 CRASH_WINDOW_S = 2.0
 
 
+class BrokenRequest(NamedTuple):
+    """A request whose connection broke before its response was complete.
+
+    Attributes:
+      fingerprint: Digest of path, organisation and body.
+      shared_parts: Ids of the parts of its prompt that it may share with other requests.
+      begun: Whether the engine had begun to write its answer.
+      at: Time at which the connection broke, in seconds on the event loop's clock.
+    """
+
+    fingerprint: str
+    shared_parts: tuple[str, ...]
+    begun: bool
+    at: float
+
+
 class EngineState:
     """The state of one engine as known to this process.
 
@@ -23,7 +41,7 @@
       running: Number of this process's requests that run on the engine.
       work: Work of those requests that have not begun to answer, as in ``enginework``.
       heard_at: Time at which data last arrived from the engine on any connection.
-      broken: Fingerprints of requests whose connections broke recently, and the times.
+      broken: Requests whose connections broke recently.
       cold_until: Time until which the engine is treated as cold.
       lapsed_at: Time at which its record disappeared around an outage of the store; None if the
         record exists.
@@ -36,7 +54,7 @@
         self.running = 0
         self.work = 0.0
         self.heard_at = 0.0
-        self.broken: list[tuple[str, float]] = []
+        self.broken: list[BrokenRequest] = []
         self.cold_until = 0.0
         self.lapsed_at: float | None = None
 
@@ -55,14 +73,14 @@
         """Treat the engine as cold for at least ``seconds`` from now on."""
         self.cold_until = max(self.cold_until, now + seconds)
 
-    def record_broken(self, fingerprint: str, now: float) -> None:
+    def record_broken(self, broken: BrokenRequest) -> None:
         """Record that a request's connection broke before its response was complete."""
-        self.broken = [item for item in self.broken if now - item[1] < CRASH_WINDOW_S]
-        self.broken.append((fingerprint, now))
+        self.broken = [item for item in self.broken if broken.at - item.at < CRASH_WINDOW_S]
+        self.broken.append(broken)
 
-    def take_broken(self, now: float) -> list[str]:
+    def take_broken(self, now: float) -> list[BrokenRequest]:
         """Return and clear the requests that may have crashed an engine found to be unreachable."""
-        found = [fingerprint for fingerprint, at in self.broken if now - at < CRASH_WINDOW_S]
+        found = [item for item in self.broken if now - item.at < CRASH_WINDOW_S]
         self.broken.clear()
         return found
 
