--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -221,6 +221,13 @@
       | an oversized head                        | 431    |
       | an oversized body                        | 413    |
 
+  # Guards against requests that share a part of their prompts and crash one engine after the other.
+  @failure.poison
+  Scenario: Requests with a prompt part that crashes engines are refused, and others are answered
+    When chats with a prompt part that crashes engines are sent between others, no two alike
+    Then at most 8 of them have run, and the last ones have been refused
+    And all other chats, except at most two, are answered
+
   @failure.poison
   Scenario: A request that crashes engines is refused, and other requests are answered
     When a read that crashes engines is sent repeatedly between other reads
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -5,7 +5,7 @@
 import time
 
 from behave import given, then, when
-from support.platform import scenario
+from support.platform import engine, scenario
 
 from berylrock.ops import tracing
 
@@ -347,6 +347,46 @@
     assert len(answered) >= len(context.results) - 1, context.results
 
 
+def send_chat_with_parts(context, number, shared):
+    """Send a chat whose prompt begins like all others; the last part is its own."""
+    headers = [
+        ("X-Berylrock-Model", "*"),
+        ("X-Berylrock-Token-Usage", "100,20"),
+        ("X-Berylrock-Prefix-Hash", f"aa:50,{shared}:30,{number:04x}{shared}:20"),
+    ]
+    body = f"{shared} {number}".encode()
+    return context.gateway.send("POST", "/chat/a", headers=headers, body=body)
+
+
+@when("chats with a prompt part that crashes engines are sent between others, no two alike")
+def step_send_crashing_parts(context):
+    """Send one of each, and wait until the engines listen again."""
+    context.crashing, context.results = [], []
+    for number in range(10):
+        context.results.append((number, send_chat_with_parts(context, number, "bb")))
+        context.crashing.append(send_chat_with_parts(context, number, engine.CRASHING_PART))
+        time.sleep(2.0 * engine.RESTART_DELAY_S)
+
+
+@then("at most {count:d} of them have run, and the last ones have been refused")
+def step_crashing_part_refused(context, count):
+    """Check how many engines ended, and that the refusals say that the request did not run."""
+    crashed = [
+        run
+        for run in context.gateway.runs("models")
+        if engine.CRASHING_PART in run.headers["x-berylrock-prefix-hash"].split(",")[1]
+    ]
+    assert 0 < len(crashed) <= count, len(crashed)
+    assert {answer.status for answer in context.crashing[-3:]} == {503}, context.crashing
+
+
+@then("all other chats, except at most two, are answered")
+def step_other_chats_answered(context):
+    """Check the others; an engine that restarts may fail one of them."""
+    answered = [answer for _, answer in context.results if answer.status == 200]
+    assert len(answered) >= len(context.results) - 2, context.results
+
+
 @when("an order, a request with a wrong key and a chat that breaks off are sent")
 def step_send_three_failures(context):
     """Send three requests; their attempt ids are the first three of the fleet."""
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -51,7 +51,8 @@
     - ``early``: the response is sent before the request's body is read
     - ``stuck``: the request's body is never read
 
-    A request whose target ends in ``crasher`` makes the engine close and listen again later.
+    A request whose target ends in ``crasher`` makes the engine close and listen again later, and so
+    does one that has ``CRASHING_PART`` in its prompt.
 
     Attributes:
       id: The engine's id.
@@ -107,7 +108,8 @@
         if run.headers.get("x-berylrock-target-instance", self.id) != self.id:
             return await self._send_response(conn, 421, [], b"")
         fault = self.faults.pop(0) if self.faults else ""
-        if run.target.endswith("crasher"):
+        parts = run.headers.get("x-berylrock-prefix-hash", "")
+        if run.target.endswith("crasher") or f"{CRASHING_PART}:" in parts:
             self.runs.append(run)
             await self._crash(conn)
             return False
@@ -236,4 +238,5 @@
 
 ATTEMPT_ID_HEADER = "x-berylrock-attempt-id"
 RESTART_DELAY_S = 0.4
+CRASHING_PART = "dead"
 EARLY_READ_DELAY_S, STUCK_DURATION_S = 0.3, 30.0
