Refuse requests with a prompt part that crashes one engine after the other

Cause: a crash was counted for the whole request. Requests that share only a part of their prompts never come to three crashes each, so each ended up to three engines, at every gateway anew. Class of fault: evidence kept under a key that is finer than the cause.

Change: ops/crashblame keeps, for each crash, the requests that the engine had not begun to answer, and their shared parts. A part on which an engine has begun an answer since is innocent; of the rest the one that explains most crashes is blamed, from 3 crashes, 2 different requests, and a crash under a request that was sent after an earlier crash. So a fleet that is lost at once blames nobody. Gateways tell each other what they saw and decided; one that has lately seen an engine answer on the part rejects the blame. A blamed part is refused at admission and before each retry, as not run, and tried again by one request after a minute, then two. A request whose answer had begun is no longer a suspect at all.

Turned down: blame from the first crash (sound parts wait there too); one count at a VM chosen for it (a gateway without the store could not see it); refusing the callers (the sound requests come from the same ones).

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -7,6 +7,7 @@
 from typing import Literal, NamedTuple
 
 __all__ = [
+    "BlamedPart",
     "Bounds",
     "Config",
     "DispatchOptions",
@@ -255,6 +256,21 @@
     began_ms: int = 0
 
 
+class BlamedPart(NamedTuple):
+    """Decision about a prompt part; the later one of two gateways' decisions holds.
+
+    Attributes:
+      part: The part's id.
+      blamed: Whether it is blamed for crashes of engines; False if it was found to be sound after
+        all.
+      decided_ms: Time of the decision, in milliseconds since 1970.
+    """
+
+    part: str
+    blamed: bool
+    decided_ms: int
+
+
 class Peer(NamedTuple):
     """Latest record that another gateway wrote about itself to the store.
 
@@ -266,6 +282,7 @@
       heartbeat: Counter that grows with each heartbeat of the gateway.
       evidence: Results of running rollouts, by ``service version``.
       suspects: Ids of the engine crashes during which a request ran, by the request's fingerprint.
+      blamed_parts: Decisions on prompt parts that may crash engines.
       revision: The store's revision of the record.
     """
 
@@ -277,6 +294,7 @@
     evidence: dict[str, tuple[int, ...]]
     suspects: dict[str, tuple[str, ...]]
     revision: int
+    blamed_parts: tuple[BlamedPart, ...] = ()
 
 
 class PromptPart(NamedTuple):
@@ -338,6 +356,8 @@
       expires_at: Time by which the final answer is due, on the event loop's clock.
       fingerprint: Digest of path, organisation and body, the same when a request is sent again.
       config_version: Version of the configuration by which the request was admitted.
+      tried_part: Prompt part that is blamed for crashes and that this request tries once; empty if
+        it tries none.
     """
 
     head: RequestHead
@@ -349,6 +369,7 @@
     expires_at: float
     fingerprint: str
     config_version: int
+    tried_part: str = ""
 
 
 class DispatchOptions(NamedTuple):
--- a/berylrock/daemons/gateway/admitting.py
+++ b/berylrock/daemons/gateway/admitting.py
@@ -7,7 +7,7 @@
 from berylrock.daemons.gateway import context
 from berylrock.ops import freshness, routetable
 
-__all__ = ["Refused", "admit"]
+__all__ = ["CRASH_RETRY_AFTER_S", "Refused", "admit"]
 
 # The configuration must have been confirmed within the time in which a revoked key must stop
 # working, less the time that a call to the store may take.
@@ -73,6 +73,10 @@
     fingerprint = _fingerprint(head, name, body)
     if ctx.strikes.is_quarantined(fingerprint):
         return Refused(503, "crashes_engines", CRASH_RETRY_AFTER_S)
+    part, may_try = ctx.refused_part(head)
+    if part and not may_try:
+        return Refused(503, "prompt_part_crashes_engines", CRASH_RETRY_AFTER_S)
+    ctx.blame.record_sent(head.shared_parts)
     timeout_s = min(route.timeout_s, head.deadline_s or route.timeout_s)
     if timeout_s <= 0.0:
         return Refused(503, "no_time_left")
@@ -86,4 +90,5 @@
         expires_at=received_at + timeout_s - EXPIRY_MARGIN_S,
         fingerprint=fingerprint,
         config_version=table.config.version,
+        tried_part=part,
     )
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -218,7 +218,7 @@
             self._ctx.timer.spawn(self._check_for_crash())
         state.record_broken(
             enginestate.BrokenRequest(
-                self._req.fingerprint, self._req.head.shared_parts, self.begun, now
+                self._req.fingerprint, self._req.head.shared_parts, self.begun, now, self.sent_at
             )
         )
 
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -10,6 +10,7 @@
     baselines,
     budget,
     buffering,
+    crashblame,
     engineset,
     enginestate,
     evidence,
@@ -33,6 +34,7 @@
 # crashes are therefore not enough to blame the request. The entry processes, which do not use
 # this value, quarantine a request after ``strikes.DEFAULT_CRASHES_TO_QUARANTINE`` crashes.
 CRASHES_TO_QUARANTINE = 3
+MS_PER_S = 1000.0
 
 
 class _PlanBasis(NamedTuple):
@@ -71,6 +73,7 @@
       peers: Records of the gateways by name, with the time at which each last changed.
       sessions: Version of each active session.
       strikes: Requests that were running on engines when those crashed.
+      blame: Prompt parts that may crash engines.
       budgets: Retry budgets by service.
       buffers: Bytes of bodies that all requests together may hold.
       baselines: Usual response times of the stable version.
@@ -109,6 +112,7 @@
         self.sampling_shares: dict[str, dict[str, float]] = {}
         self.peers: dict[str, tuple[routing.Peer, float]] = {}
         self.sessions = rollouts.SessionVersions()
+        self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
         self.budgets: dict[str, budget.WindowBudget] = {}
         self.buffers = buffering.BufferBudget(cfg.memory_mb)
@@ -156,6 +160,7 @@
         """
         if not broken:
             return
+        self.blame.record_crash(engine_id, broken, now)
         self.log.write(
             "engine_crashed",
             engine=engine_id,
@@ -166,7 +171,9 @@
         # An engine may restart under the same id and crash again, so the id of a crash contains the
         # time.
         crash = f"{engine_id}@{int(time.time())}"
-        strikes_found = [message.Strike(item.fingerprint, crash) for item in broken]
+        strikes_found = [
+            message.Strike(item.fingerprint, crash) for item in broken if not item.begun
+        ]
         for strike in self.strikes.add(strikes_found, now):
             quarantined = self.strikes.is_quarantined(strike.fingerprint)
             self.meter.count("suspects")
@@ -177,6 +184,40 @@
                 refused=quarantined,
             )
 
+        self.decide_blame()
+
+    def decide_blame(self) -> None:
+        """Blame prompt parts for crashes if there is enough evidence."""
+        now = asyncio.get_running_loop().time()
+        for decision in self.blame.decide(now, int(time.time() * MS_PER_S)):
+            self.meter.count("blamed_parts")
+            self.log.write("prompt_part_blamed", part=decision.part, by=self.cfg.name)
+
+    def adopt_blame(self, decision: routing.BlamedPart, gateway: str) -> None:
+        """Adopt another gateway's decision on a prompt part if it is the later one."""
+        if self.blame.adopt(decision, asyncio.get_running_loop().time()):
+            event = "prompt_part_blamed" if decision.blamed else "prompt_part_cleared"
+            self.log.write(event, part=decision.part, by=gateway)
+
+    def record_begun(self, req: routing.Request) -> None:
+        """Record that an engine has begun to answer a request and lives."""
+        now = asyncio.get_running_loop().time()
+        now_ms = int(time.time() * MS_PER_S)
+        for part in self.blame.record_begun(req.head.shared_parts, now, now_ms):
+            self.log.write("prompt_part_cleared", part=part, by=self.cfg.name)
+
+    def refused_part(self, head: routing.RequestHead) -> tuple[str, bool]:
+        """Find a blamed part in a request's prompt.
+
+        Returns:
+          The part, empty if there is none, and whether the request may try it once. One gateway
+          tries for all.
+        """
+        part = self.blame.find_blamed(head.shared_parts)
+        if not part or self.position_by_datagram():
+            return part, False
+        return part, self.blame.take_trial(part, asyncio.get_running_loop().time())
+
     def position_by_datagram(self) -> int:
         """Return the position of this gateway, from 0, by name among those heard by datagram."""
         return sum(name < self.cfg.name for name in self.gateways_heard())
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -44,6 +44,7 @@
             evidence=results,
             suspects=suspects,
             revision=0,
+            blamed_parts=tuple(ctx.blame.decisions()),
         )
 
     async def publish_if_due(self) -> None:
@@ -74,9 +75,10 @@
     def _has_urgent_changes(self, record: routing.Peer, written: routing.Peer) -> bool:
         """Tell whether others need the change early.
 
-        This holds for new suspects and for more bad results of a version on trial.
+        This holds for new suspects, for blamed prompt parts, and for more bad results of a version
+        on trial.
         """
-        if record.suspects != written.suspects:
+        if record.suspects != written.suspects or record.blamed_parts != written.blamed_parts:
             return True
         trials = {(item.service, item.target) for item in self._ctx.rollouts.values()}
         before = evidence.decode_results(written.evidence)
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -6,7 +6,7 @@
 
 from berylrock.adapters import http1
 from berylrock.core import routing
-from berylrock.daemons.gateway import attempt, context, pool, responding, sending
+from berylrock.daemons.gateway import admitting, attempt, context, pool, responding, sending
 from berylrock.ops import baselines, enginestate, evidence, rollouts, timeouts
 
 __all__ = ["Forwarding"]
@@ -70,6 +70,8 @@
             )
         elif self.dispatcher.attempts_run:
             await self.responder.refuse(502, f"failed: {self.dispatcher.last_reason}")
+        elif self.dispatcher.crashes_engines:
+            await self.responder.refuse(503, "crashes engines", admitting.CRASH_RETRY_AFTER_S)
         else:
             reason = self.dispatcher.last_reason or "no engine can take it"
             await self.responder.refuse(503, reason, self._retry_after_s())
@@ -90,6 +92,7 @@
         state = opened.attempt.state
         if good:
             self.ctx.strikes.clear(self.req.fingerprint)
+            self.ctx.record_begun(self.req)
             state.health.record_response(first_part_s)
         else:
             state.health.record_failure(self.now)
@@ -121,7 +124,10 @@
             if not self.dispatcher.attempts_left or not self.dispatcher.spend_retry():
                 return await self.refuse()
             state = await self.find_engine(self.req.head.model)
-            if state is None or self.now >= self.req.expires_at:
+            # While the request waited, it may have become known to crash engines.
+            if state is None or not self.dispatcher.attempts_left:
+                return await self.refuse()
+            if self.now >= self.req.expires_at:
                 return await self.refuse()
             result = await self.dispatcher.send(
                 state, "", self.req.head.last_event, self.response_start_timeouts()
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -13,12 +13,13 @@
 
 import asyncio
 import secrets
+from typing import NamedTuple
 
 import msgspec
 
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
-from berylrock.ops import budget, evidence, freshness, loadview, views
+from berylrock.ops import budget, crashblame, evidence, freshness, loadview, views
 
 __all__ = ["Gossip"]
 
@@ -28,6 +29,7 @@
 FANOUT = 32
 # Versions and routes whose results a datagram carries.
 BUSIEST_RESULTS, OTHER_RESULTS = 8, 4
+MAX_BLAMED_PARTS = 8
 MAX_DATAGRAM_BYTES = 1400
 MS_PER_S = 1000.0
 NO_TIMESTAMP = views.SendTimestamp(0, 0)
@@ -36,6 +38,24 @@
 UNKNOWN_LOG_INTERVAL_S = 10.0
 
 
+class ReportedCrash(NamedTuple):
+    """A request that an engine was running when it crashed; the order of fields is the format.
+
+    Attributes:
+      engine: The engine's id.
+      request: The first digits of the request's fingerprint.
+      parts: Prompt parts that may be to blame.
+      age_ms: Milliseconds since the crash.
+      sent_ms: Milliseconds since the request was sent.
+    """
+
+    engine: str
+    request: str
+    parts: tuple[str, ...]
+    age_ms: int
+    sent_ms: int
+
+
 class GossipMessage(msgspec.Struct, array_like=True):
     """State of one gateway, sent to the others. The order of the fields is the wire format.
 
@@ -49,6 +69,8 @@
       mark: When this message was sent.
       repeated: The last ``mark`` that the sender got from the receiver.
       words: Digest and age of the sender's view of each watched kind, in order of the kinds' names.
+      crashes: What engines were running when they crashed.
+      blamed_parts: Decisions on prompt parts that may crash engines.
       route_results: Service, version, route and fields of the evidence, for rollouts in progress.
     """
 
@@ -61,6 +83,8 @@
     repeated: views.SendTimestamp = NO_TIMESTAMP
     words: list[views.ViewReport] = []
     route_results: list[tuple[str, str, str, tuple[int, ...]]] = []
+    crashes: list[ReportedCrash] = []
+    blamed_parts: list[routing.BlamedPart] = []
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -103,6 +127,7 @@
         sent_at = views.find_sent_at(self._timestamp(), message.repeated)
         if sent_at is not None:
             self._record_evidence(message)
+            self._record_crashes(message)
             self._record_views(message, sent_at)
         loads = tuple(
             loadview.EngineLoad(name, running, work, now - quiet_ms / MS_PER_S)
@@ -139,6 +164,14 @@
                     "version_vetoed", service=key.service, target=key.version, by=message.gateway
                 )
 
+    def _record_crashes(self, message: GossipMessage) -> None:
+        """Record what engines ran when they crashed, and adopt decisions on prompt parts."""
+        now = asyncio.get_running_loop().time()
+        self._ctx.blame.record_peer([_decode_crash(item, now) for item in message.crashes])
+        for decision in message.blamed_parts:
+            self._ctx.adopt_blame(decision, message.gateway)
+        self._ctx.decide_blame()
+
     def _record_views(self, message: GossipMessage, sent_at: float) -> None:
         """Record how fresh the other gateway's view of the store is.
 
@@ -200,6 +233,8 @@
             mark=self._timestamp(),
             words=words,
             route_results=results,
+            crashes=[_encode_crash(item, now) for item in ctx.blame.reports()],
+            blamed_parts=ctx.blame.decisions()[-MAX_BLAMED_PARTS:],
         )
 
     def _choose_results(self) -> evidence.EvidenceByKey:
@@ -229,3 +264,13 @@
         """Stop listening."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _encode_crash(report: crashblame.CrashReport, now: float) -> ReportedCrash:
+    age_ms, sent_ms = int((now - report.at) * MS_PER_S), int((now - report.sent_at) * MS_PER_S)
+    return ReportedCrash(report.engine, report.request, report.parts, age_ms, sent_ms)
+
+
+def _decode_crash(item: ReportedCrash, now: float) -> crashblame.CrashReport:
+    at, sent_at = now - item.age_ms / MS_PER_S, now - item.sent_ms / MS_PER_S
+    return crashblame.CrashReport(item.engine, item.request, item.parts, at, sent_at)
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -86,6 +86,7 @@
         """Drop sessions, engines, loads, peers and connections that have timed out."""
         loop = asyncio.get_running_loop()
         self._conns.close_stale()
+        self._ctx.decide_blame()
         ttl_s = self._ctx.cfg.bounds.session_ttl_s + 1.0
         self._ctx.sessions.expire(loop.time(), ttl_s)
         for change in self._ctx.engines.expire(loop.time()):
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -51,11 +51,22 @@
 
     @property
     def attempts_left(self) -> int:
-        """Number of further attempts that may run the request."""
+        """Number of further attempts that may run the request; 0 once it is known to crash."""
+        if self.crashes_engines:
+            return 0
         if not routing.is_repeatable(self._req.route):
             return 0 if self.attempts_run else 1
         return self._req.route.max_attempts - self.attempts_run
 
+    @property
+    def crashes_engines(self) -> bool:
+        """Whether the request must not be sent, or not again, because it crashes engines."""
+        ctx, req = self._ctx, self._req
+        if ctx.strikes.is_quarantined(req.fingerprint):
+            return True
+        part = ctx.blame.find_blamed(req.head.shared_parts)
+        return bool(part) and (part != req.tried_part or self.attempts_sent > 0)
+
     def _limits(self) -> budget.RetryLimits:
         bounds, ctx = self._ctx.cfg.bounds, self._ctx
         now = asyncio.get_running_loop().time()
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -177,6 +177,8 @@
             for crash_id in crash_ids
         ]
         self._ctx.strikes.add(strikes, freshness.boottime_clock())
+        for decision in peer.blamed_parts:
+            self._ctx.adopt_blame(decision, peer.name)
         if peer.name != self._ctx.cfg.name:
             self._ctx.evidence.record_peer(peer.name, evidence.decode_results(peer.evidence))
 
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -100,7 +100,8 @@
                 self.dispatcher.last_reason = "retry budget spent"
                 return None
             state = await self.find_engine(self._step.model)
-            if state is None:
+            # While the request waited, it may have become known to crash engines.
+            if state is None or not self.dispatcher.attempts_left:
                 return None
             result = await self.dispatcher.send(
                 state, self._step.model, self._sequence.last, self.response_start_timeouts()
@@ -276,7 +277,9 @@
             )
         self._last_event_at = now
         self._event_count += 1
-        current.begun = self._event_count >= BEGUN_EVENTS
+        if self._event_count == BEGUN_EVENTS:
+            current.begun = True
+            self.ctx.record_begun(self.req)
 
     def _measure_timing(self, opened: attempt.OpenedResponse) -> baselines.Timing:
         """Return the time to the first event and the mean gap; 0 as gap if events are too few."""
@@ -297,6 +300,7 @@
         if complete and not on_trial:
             self.ctx.baselines.record(self.req.route.name, model, timing)
         if complete:
+            self.ctx.record_begun(self.req)
             self.ctx.strikes.clear(self.req.fingerprint)
             self.ctx.latency_estimator.record_event_count(self.req.route.name, self._event_count)
             state.health.record_response(timing.first_part_s)
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -282,6 +282,7 @@
     link_mbps: float = 0.0
     evidence: dict[str, tuple[int, ...]] = {}
     suspects: dict[str, tuple[str, ...]] = {}
+    blamed_parts: tuple[routing.BlamedPart, ...] = ()
 
 
 def decode_peer(item: stored.StoredObject) -> routing.Peer | None:
@@ -299,6 +300,7 @@
         evidence=raw.evidence,
         suspects=raw.suspects,
         revision=item.revision,
+        blamed_parts=raw.blamed_parts,
     )
 
 
@@ -311,4 +313,5 @@
         "link_mbps": peer.link_mbps,
         "evidence": peer.evidence,
         "suspects": peer.suspects,
+        "blamed_parts": peer.blamed_parts,
     }
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -195,6 +195,28 @@
     And a start that makes no sense is bounded by the order's duration
     And a second order for the same version starts from zero
 
+  # Guards against requests that share a part of their prompts and crash one engine after the other.
+  @failure.poison
+  Scenario: The prompt part that explains the crashes is blamed, and no other part of the requests
+    Then the part in the requests of 3 crashes is blamed, whichever gateway saw each of them
+    And the first part of all prompts is not, even if no engine has begun an answer on it
+    And one request that is repeated blames no part
+    And a part on which an engine has begun an answer since is not blamed
+    And a part that was sound before is blamed after 8 crashes
+    And requests that an engine had begun to answer blame no part
+
+  @failure.poison
+  Scenario: Engines crash for other reasons while many requests wait there
+    Then no part is blamed when all of 10 engines crash at once, twice
+    And no part is blamed when all of 5 engines crash at once right after the start
+
+  @failure.poison
+  Scenario: Gateways adopt the latest decision on a prompt part
+    Then a part that another gateway blames is refused, and one that it clears is not
+    And an earlier decision does not replace a later one
+    And a blamed part is tried again by one request after a minute
+    And a part that an engine has begun to answer lately is not blamed, whoever blames it
+
   Scenario: Gateways pool their results on a version on trial
     Then results of several gateways are summed, from datagrams as well as from records
     And the lower counts of a restarted gateway do not replace its earlier ones
--- /dev/null
+++ b/features/steps/gateway_crash_steps.py
@@ -0,0 +1,174 @@
+"""Steps on prompt parts that crash engines, without a process or a network.
+
+Load pattern: requests on one route share their first part, some share a second one, and each has a
+part of its own; one second part crashes each engine that begins an answer on it.
+"""
+
+from behave import then
+
+from berylrock.core import routing
+from berylrock.ops import crashblame, enginestate
+
+FIRST, BAD, SOUND = "first", "bad", "sound"
+
+
+def make_broken(request, *parts, begun=False, at=0.0):
+    """Return a request that broke off when its engine crashed, half a second after it was sent."""
+    return enginestate.BrokenRequest(f"{request:08x}", parts, begun, at, at - 0.5)
+
+
+def crash(blame, number, requests, at=None):
+    """Let an engine crash with requests, given as pairs of a number and a second part."""
+    at = float(number) if at is None else at
+    for _, part in requests:
+        blame.record_sent((FIRST, part))
+    broken = [make_broken(request, FIRST, part, at=at) for request, part in requests]
+    blame.record_crash(f"engine-{number}", broken, at)
+
+
+def decide(blame, at=10.0):
+    """Return the parts that are blamed now."""
+    return [item.part for item in blame.decide(at, int(at * 1000))]
+
+
+@then("the part in the requests of 3 crashes is blamed, whichever gateway saw each of them")
+def step_shared_part(context):
+    """Check a gateway that saw one crash and hears of two others, one of them twice."""
+    blame, other = crashblame.CrashBlame(), crashblame.CrashBlame()
+    blame.record_begun((FIRST,), 0.0, 0)
+    crash(blame, 1, [(1, BAD), (2, "x")])
+    assert not decide(blame)
+    crash(other, 2, [(3, BAD)])
+    crash(other, 3, [(4, BAD), (5, "y")])
+    blame.record_peer(other.reports())
+    blame.record_peer(other.reports())
+    assert decide(blame) == [BAD]
+    assert blame.find_blamed((FIRST, BAD)) == BAD
+    assert not blame.find_blamed((FIRST, "x"))
+
+
+@then("the first part of all prompts is not, even if no engine has begun an answer on it")
+def step_first_part(context):
+    """Check crashes right after the start, with the first part in more requests."""
+    blame = crashblame.CrashBlame()
+    for number in range(1, 6):
+        blame.record_sent((FIRST, f"s{number}"))
+        crash(blame, number, [(number, BAD), (10 + number, f"x{number}")])
+    assert decide(blame) == [BAD]
+    assert not blame.is_blamed(FIRST)
+
+
+@then("one request that is repeated blames no part")
+def step_one_request(context):
+    """Check the attempts of one request, which has a check of its own."""
+    blame = crashblame.CrashBlame()
+    blame.record_begun((FIRST,), 0.0, 0)
+    for number in range(1, 6):
+        crash(blame, number, [(1, "rare")])
+    assert not decide(blame)
+
+
+@then("a part on which an engine has begun an answer since is not blamed")
+def step_innocent(context):
+    """Check an answer after the first crashes."""
+    blame = crashblame.CrashBlame()
+    for number in range(1, 4):
+        crash(blame, number, [(number, SOUND)])
+    blame.record_begun((FIRST, SOUND), 3.5, 3500)
+    assert not decide(blame)
+
+
+@then("a part that was sound before is blamed after {count:d} crashes")
+def step_once_sound(context, count):
+    """Check a part on which engines had begun answers before the first crash."""
+    blame = crashblame.CrashBlame()
+    blame.record_begun((FIRST, BAD), 0.5, 500)
+    for number in range(1, count + 1):
+        at = 3.0 * number
+        assert not decide(blame, at), number
+        blame.record_sent((FIRST, "other"))
+        blame.record_begun((FIRST,), at - 0.5, 0)
+        crash(blame, number, [(number, BAD)], at)
+    assert decide(blame, 30.0) == [BAD]
+
+
+@then("requests that an engine had begun to answer blame no part")
+def step_begun(context):
+    """Check streams that were cut in the middle."""
+    blame = crashblame.CrashBlame()
+    for number in range(1, 6):
+        broken = [make_broken(number, FIRST, SOUND, begun=True)]
+        blame.record_crash(f"engine-{number}", broken, float(number))
+    assert not decide(blame)
+
+
+@then("no part is blamed when all of {count:d} engines crash at once, twice")
+def step_all_crash(context, count):
+    """Check subjects that are asked for by many requests, half of them for the first time."""
+    blame = crashblame.CrashBlame()
+    subjects = [f"subject-{number}" for number in range(2 * count)]
+    blame.record_begun((FIRST, *subjects[:count]), 0.0, 0)
+    for wave in (1.0, 20.0):
+        for engine in range(count):
+            waiting = [(100 * engine + item, subjects[(engine + item) % 20]) for item in range(2)]
+            crash(blame, engine, waiting, wave)
+        assert not decide(blame, wave + 1.0)
+        blame.record_begun((FIRST, *subjects), wave + 5.0, 0)
+
+
+@then("no part is blamed when all of {count:d} engines crash at once right after the start")
+def step_all_crash_early(context, count):
+    """Check that engines on which no answer had begun yet, all crash before the first one."""
+    blame = crashblame.CrashBlame()
+    for engine in range(count):
+        waiting = [(100 * engine + item, "hot") for item in range(3)]
+        crash(blame, engine, waiting, 1.0 + 0.02 * engine)
+    assert not decide(blame, 2.0)
+
+
+@then("a part that an engine has begun to answer lately is not blamed, whoever blames it")
+def step_rejected(context):
+    """Check a gateway that knows better, and the one that hears its decision."""
+    knowing, blaming = crashblame.CrashBlame(), crashblame.CrashBlame()
+    knowing.record_begun((FIRST, SOUND), 5.0, 5000)
+    wrong = routing.BlamedPart(SOUND, True, 8000)
+    assert blaming.adopt(wrong, 8.0)
+    assert not knowing.adopt(wrong, 8.0)
+    assert not knowing.is_blamed(SOUND)
+    for decision in knowing.decisions():
+        blaming.adopt(decision, 8.2)
+    assert not blaming.is_blamed(SOUND)
+
+
+@then("a part that another gateway blames is refused, and one that it clears is not")
+def step_adopted(context):
+    """Check both decisions, and the part of an answer that an engine has begun."""
+    blame = crashblame.CrashBlame()
+    assert blame.adopt(routing.BlamedPart(BAD, True, 1000), 1.0)
+    assert not blame.adopt(routing.BlamedPart(BAD, True, 1000), 1.1)
+    assert blame.is_blamed(BAD)
+    assert blame.adopt(routing.BlamedPart(BAD, False, 2000), 2.0)
+    assert not blame.is_blamed(BAD)
+
+
+@then("an earlier decision does not replace a later one")
+def step_earlier_decision(context):
+    """Check a message that arrives late."""
+    blame = crashblame.CrashBlame()
+    blame.adopt(routing.BlamedPart(BAD, False, 2000), 2.0)
+    assert not blame.adopt(routing.BlamedPart(BAD, True, 1000), 3.0)
+    assert not blame.is_blamed(BAD)
+
+
+@then("a blamed part is tried again by one request after a minute")
+def step_trial(context):
+    """Check that the pause grows, and that an answer clears the part."""
+    blame = crashblame.CrashBlame()
+    blame.adopt(routing.BlamedPart(BAD, True, 1000), 0.0)
+    pause_s = crashblame.FIRST_TRIAL_S
+    assert not blame.take_trial(BAD, pause_s - 1.0)
+    assert blame.take_trial(BAD, pause_s)
+    assert not blame.take_trial(BAD, 2.9 * pause_s)
+    assert blame.take_trial(BAD, 3.0 * pause_s)
+    assert blame.record_begun((FIRST, BAD), 1000.0, 1_000_000) == (BAD,)
+    assert not blame.is_blamed(BAD)
