--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -21,6 +21,7 @@
         "engine_changed",
         "history_gone",
         "log_dropped",
+        "prompt_part_blamed",
         "rollout_decided",
         "rollout_seen",
         "started",
@@ -120,6 +121,9 @@
     "no_route": "No route of the configuration version config= has a prefix of this path.",
     "unknown_key": "No organisation of the configuration version config= has this API key.",
     "crashes_engines": "Engines crashed while they ran the same request; see request_suspected.",
+    "prompt_part_crashes_engines": (
+        "Engines crashed while they ran requests with one part of its prompt; see prompt_part_blamed."
+    ),
 }
 
 
