Do not believe a refusal without an id on a connection that has carried another answer

Cause: the id tells whose answer it is, but a refusal without one was believed. With the earlier request's id it was no fault here before either (first row of the scenario); the same request never goes to one engine twice, so its own earlier refusal can't meet it.

Change: a refusal without an id counts only as the first answer on its connection; else the request may have run, and its caller gets 502 or another engine's answer. Before: the row 'no id' answered 503 although the engine ran the read; after: 502. Looked for elsewhere: the sidecar closes its engine's connection after each answer.

--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -187,6 +187,8 @@
         now = asyncio.get_running_loop().time()
         if head.request_id and head.request_id != self._req.head.id:
             return self._fail("response to another request")
+        if head.not_run and not self._is_own_refusal(head):
+            return self._fail("refusal that may be an earlier one's")
         if head.not_run:
             pause = head.retry_after_s if head.retry_after_s is not None else DEFAULT_BUSY_PAUSE_S
             if head.status != BAD_REQUEST:
@@ -199,6 +201,14 @@
         self._work = 0.0
         return OpenedResponse(self, head, now)
 
+    def _is_own_refusal(self, head: translating.ResponseHead) -> bool:
+        """Tell whether a refusal belongs to this request, which may run if it does not.
+
+        Without an id, it may be one that the engine has sent before on the same connection.
+        """
+        assert self.conn is not None
+        return bool(head.request_id) or self.conn.responses_read == 0
+
     async def _drain_refusal(self, head: translating.ResponseHead) -> None:
         """Read the rest of a refusal, so that its connection can be reused."""
         assert self.conn is not None
--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -122,7 +122,7 @@
     "unknown_key": "No organisation of the configuration version config= has this API key.",
     "crashes_engines": "Engines crashed while they ran the same request; see request_suspected.",
     "prompt_part_crashes_engines": (
-        "Engines crashed while they ran requests with one part of its prompt; see prompt_part_blamed."
+        "Engines crashed while they ran requests with a part of its prompt; see prompt_part_blamed."
     ),
 }
 
--- a/features/gateway_hostile.feature
+++ b/features/gateway_hostile.feature
@@ -44,6 +44,19 @@
       | 0.5   |
       | 0.7   |
 
+  # Guards against "not run" for a request that runs, after an engine repeats an earlier refusal.
+  @promise.not_run
+  Scenario Outline: A request whose engine writes an earlier refusal once more is not said not to have run
+    Given a gateway with one engine of each service
+    And the next answers of a plain engine have the faults "full; refusal again<variant>"
+    When 2 reads are sent on connections that the gateway keeps
+    Then the first one is refused as not run, and the second one is not
+
+    Examples:
+      | variant |
+      |         |
+      | , no id |
+
   Scenario: A stream with pauses over the target is still answered completely
     Given a gateway whose engines pause 0.7 s between the events of a stream
     When 3 chats are sent at the same time
--- a/features/steps/gateway_hostile_steps.py
+++ b/features/steps/gateway_hostile_steps.py
@@ -81,6 +81,57 @@
         item.event_interval_s, item.event_count = seconds, 4
 
 
+@given("a gateway with one engine of each service")
+def step_one_engine_each(context):
+    """Start a gateway that cannot retry on another engine."""
+    scenario.start_gateway(context, plain=1, models=1)
+
+
+@given("a gateway with three engines of the models")
+def step_three_model_engines(context):
+    """Start a gateway that can resume a stream twice."""
+    scenario.start_gateway(context, models=3)
+
+
+@given('the next answers of a plain engine have the faults "{faults}"')
+def step_plain_faults(context, faults):
+    """Apply each fault once."""
+    shared = faults.split("; ")
+    for item in scenario.plain_engines(context):
+        item.faults = shared
+
+
+@given('the first chats are answered with the faults "{faults}"')
+def step_chat_faults(context, faults):
+    """Apply each fault once; where no gateway was started, start one with two model engines."""
+    if getattr(context, "gateway", None) is None:
+        scenario.start_gateway(context)
+    shared = faults.split("; ")
+    for item in scenario.model_engines(context):
+        item.faults = shared
+
+
+@when("{count:d} reads are sent on connections that the gateway keeps")
+def step_send_kept(context, count):
+    """Send reads one right after the other."""
+    context.results = [context.gateway.send(path=f"/read/{number}") for number in range(count)]
+
+
+@then("the first one is refused as not run, and the second one is not")
+def step_second_not_refused(context):
+    """Check the statuses; the engine ran the second read only."""
+    assert len(context.gateway.runs("plain")) == 1
+    assert context.results[0].status == 503, context.results
+    assert context.results[1].status == 502, context.results
+
+
+@then("the stream has events of the models and nothing else")
+def step_only_events(context):
+    """Check the text of the stream: each line is an id, a model's data, or empty."""
+    for line in context.result.body.decode().splitlines():
+        assert line == "" or line.startswith(("id: ", "data: small ", "data: large ")), line
+
+
 @when("{count:d} chats are sent at the same time")
 def step_send_chats(context, count):
     """Send the chats on connections of their own."""
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -37,11 +37,15 @@
     The faults are:
 
     - ``full``: status 503, and the request is not run
+    - ``refusal again``: the request is run, and the last refusal is written once more
+    - ``refusal again, no id``: the same, without the id of the request that was refused
     - ``error``: the request is run and answered with status 500
     - ``reset``: the request is run and the connection reset without a response
     - ``silent``: the request is run and never answered
     - ``cut N``: a stream is cut off within event N
     - ``unframed``: a stream has neither a length nor chunks and ends with the connection
+    - ``empty``: the same, and it has no events
+    - ``error stream``: a stream is answered with status 500 and events
     - ``extra``: a second response follows the first
     - ``stranger``: the response has the id of another request
     - ``unsigned``: the response has no signature
@@ -70,6 +74,7 @@
         self.id = engine_id
         self.faults = []
         self.runs = []
+        self._refused_id = ""
         self.confidence = {}
         self.event_count = 6
         self.event_interval_s = 0.005
@@ -114,14 +119,23 @@
             await self._crash(conn)
             return False
         if fault == "full":
-            return await self._send_response(conn, 503, [("X-Berylrock-Not-Executed", "1")], b"")
+            self._refused_id = run.headers[ATTEMPT_ID_HEADER]
+            return await self._send_refusal(conn, self._refused_id)
         self.runs.append(run)
+        if fault.startswith("refusal again"):
+            return await self._send_refusal(conn, "" if "no id" in fault else self._refused_id)
         try:
             return await self._run(conn, writer, run, fault)
         except OSError:
             run.cancelled = True
             raise
 
+    async def _send_refusal(self, conn, attempt_id):
+        headers = [("X-Berylrock-Attempt-Id", attempt_id)] if attempt_id else []
+        return await self._send_response(
+            conn, 503, [*headers, ("X-Berylrock-Not-Executed", "1")], b""
+        )
+
     @staticmethod
     async def _read_body(conn):
         body = b""
@@ -198,7 +212,10 @@
         if model in self.confidence:
             headers.append(("X-Berylrock-Hint-Confidence", str(self.confidence[model])))
         headers.append(("Content-Type", "text/event-stream"))
-        if fault == "unframed":
+        if fault == "error stream":
+            return await self._send_response(conn, 500, headers, b"id: 4\ndata: error\n\n")
+        unframed = fault in ("unframed", "empty")
+        if unframed:
             headers.append(("Connection", "close"))
             lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
@@ -206,13 +223,14 @@
             headers.append(("Transfer-Encoding", "chunked"))
             await conn.send(h11.Response(status_code=200, headers=headers))
         cut_at = int(fault.split()[1]) if fault.startswith("cut") else 0
-        for number in range(int(run.headers.get("last-event-id", 0)) + 1, self.event_count + 1):
+        event_count = 0 if fault == "empty" else self.event_count
+        for number in range(int(run.headers.get("last-event-id", 0)) + 1, event_count + 1):
             data = f"id: {number}\ndata: {model} {number}\n\n".encode()
             if number == cut_at:
                 await conn.send(h11.Data(data=data[:9]))
                 conn.abort()
                 return False
-            if fault == "unframed":
+            if unframed:
                 writer.write(data)
                 await writer.drain()
             else:
@@ -221,7 +239,7 @@
             if conn.reader.ended.is_set():
                 run.cancelled = True
                 return False
-        if fault == "unframed":
+        if unframed:
             writer.close()
             return False
         await conn.send(h11.EndOfMessage())
