Do not take a stream for complete that ends before its first event without a length

What callers saw, at other operators: a stream that had begun broke off, the next engine answered with an error, and its text, or a false end, came into the stream. Error texts can't come in here: an error's body is never relayed, whatever its content type (rows 'error', 'error stream', 'unsigned', 'garbage', 'full' were green before). A false end could: an answer with neither a length nor chunks whose connection closes right after its head counted as the rest of the stream.

Change: such an answer without any event is broken off; the next engine is asked. One that really had nothing left costs an attempt, and its caller sees a break in place of an end; an engine that sends a length or chunks is believed as before.

Before: the two rows 'empty' red; after: green.

--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -227,13 +227,26 @@
                 self._next_event_timeouts(opened), self._progress_at
             )
             if isinstance(part, h11.EndOfMessage):
-                if splitter.rest:
-                    self.dispatcher.last_reason = "stream ended within an event"
-                return not splitter.rest and (self.responder.begun or await self._begin(opened))
+                obstacle = self._incomplete_reason(opened, splitter)
+                if obstacle:
+                    self.dispatcher.last_reason = obstacle
+                    return False
+                return self.responder.begun or await self._begin(opened)
             if isinstance(part, h11.Data):
                 for event in splitter.feed(bytes(part.data)):
                     await self._relay_event(opened, event)
 
+    def _incomplete_reason(
+        self, opened: attempt.OpenedResponse, splitter: sse.EventSplitter
+    ) -> str:
+        """Return why a stream that has ended is not complete; empty if it is."""
+        if splitter.rest:
+            return "stream ended within an event"
+        # A connection that closes right after the head looks the same as an empty body.
+        if not opened.head.framed and not self._event_count:
+            return "stream ended before its first event"
+        return ""
+
     def _next_event_timeouts(
         self, opened: attempt.OpenedResponse
     ) -> timeouts.ResponseTimeouts | None:
--- a/features/gateway_hostile.feature
+++ b/features/gateway_hostile.feature
@@ -57,6 +57,36 @@
       |         |
       | , no id |
 
+  # Guards against an error's text, or a false end, in the middle of a stream that is resumed.
+  @promise.answer
+  Scenario Outline: After a stream has begun, an answer with the fault <fault> adds nothing to it
+    Given the first chats are answered with the faults "cut 3; <fault>"
+    When a chat is sent
+    Then the stream is incomplete
+    And the stream has events of the models and nothing else
+
+    Examples:
+      | fault        |
+      | error        |
+      | error stream |
+      | empty        |
+      | unsigned     |
+      | garbage      |
+      | full         |
+
+  @promise.answer
+  Scenario Outline: After an answer with the fault <fault>, a stream that has begun is resumed elsewhere
+    Given a gateway with three engines of the models
+    And the first chats are answered with the faults "cut 3; <fault>"
+    When a chat is sent
+    Then the stream is complete and has each event once
+
+    Examples:
+      | fault        |
+      | error        |
+      | error stream |
+      | empty        |
+
   Scenario: A stream with pauses over the target is still answered completely
     Given a gateway whose engines pause 0.7 s between the events of a stream
     When 3 chats are sent at the same time
