Take an engine out of use once it says in an answer that it leaves

Cause: nobody read 'Server-Leaving'. Class: only the store was asked what an engine says of itself in each answer.

Change: ops/notices keeps what an engine has said to this gateway. From when the head of an answer of any kind is read (a misdirected one comes from another engine) it is in no group, as if it were draining, also as the only one; a request that waits for a connection to it is sent elsewhere; what runs there ends in peace; its record's removal around an outage counts. The other gateways hear of it in the datagrams and avoid it while there is another. A restart of the gateway forgets it.

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -221,6 +221,7 @@
       draining: Whether the engine is about to leave.
       warmup_left_s: Remaining cold time when the entry was last written.
       revision: The store's revision of the entry.
+      started_ms: When the engine started, in milliseconds since 1970; 0 if not known.
     """
 
     id: str
@@ -232,6 +233,7 @@
     draining: bool
     warmup_left_s: float
     revision: int
+    started_ms: int = 0
 
 
 class Rollout(NamedTuple):
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -8,7 +8,7 @@
 
 from berylrock.adapters import http1
 from berylrock.core import errors, routing
-from berylrock.daemons.gateway import context, pool
+from berylrock.daemons.gateway import context, noticing, pool
 from berylrock.ops import enginestate, enginework, timeouts
 from berylrock.platform import translating
 
@@ -163,6 +163,9 @@
             self.state.mark_cold(now)
             self.end()
             return Failure(False, f"unreachable: {exc}", arrived=False)
+        obstacle = self.state.notices.obstacle(loop.time())
+        if obstacle:
+            return self._withdraw(obstacle)
         left_s = req.expires_at - loop.time()
         options = routing.DispatchOptions(
             engine.id, max(MIN_DEADLINE_S, left_s), self.model, last_event
@@ -187,6 +190,7 @@
         now = asyncio.get_running_loop().time()
         if head.request_id and head.request_id != self._req.head.id:
             return self._fail("response to another request")
+        noticing.record(self._ctx, self.state, head)
         if head.not_run and not self._is_own_refusal(head):
             return self._fail("refusal that may be an earlier one's")
         if head.not_run:
@@ -247,6 +251,15 @@
         state.broken.clear()
         self._conns.release(engine, conn, False)
 
+    def _withdraw(self, reason: str) -> Failure:
+        """End the attempt before anything is sent, and keep its connection for others."""
+        assert self.conn is not None
+        self._ctx.meter.count("sends_withdrawn")
+        self._conns.release(self.state.engine, self.conn, False)
+        self.conn = None
+        self.end()
+        return Failure(False, reason, arrived=False)
+
     def _fail(self, reason: str) -> Failure:
         self.state.health.record_failure(asyncio.get_running_loop().time())
         self.end()
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -29,7 +29,7 @@
 FANOUT = 32
 # Versions and routes whose results a datagram carries.
 BUSIEST_RESULTS, OTHER_RESULTS = 8, 4
-MAX_BLAMED_PARTS = 8
+MAX_BLAMED_PARTS, MAX_LEAVING = 8, 16
 MAX_DATAGRAM_BYTES = 1400
 MS_PER_S = 1000.0
 NO_TIMESTAMP = views.SendTimestamp(0, 0)
@@ -71,6 +71,7 @@
       words: Digest and age of the sender's view of each watched kind, in order of the kinds' names.
       crashes: What engines were running when they crashed.
       blamed_parts: Decisions on prompt parts that may crash engines.
+      leaving: Ids of engines that have told the sender that they leave.
       route_results: Service, version, route and fields of the evidence, for rollouts in progress.
     """
 
@@ -85,6 +86,7 @@
     route_results: list[tuple[str, str, str, tuple[int, ...]]] = []
     crashes: list[ReportedCrash] = []
     blamed_parts: list[routing.BlamedPart] = []
+    leaving: list[str] = []
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -129,6 +131,7 @@
             self._record_evidence(message)
             self._record_crashes(message)
             self._record_views(message, sent_at)
+            self._ctx.engines.record_hints(message.leaving, now)
         loads = tuple(
             loadview.EngineLoad(name, running, work, now - quiet_ms / MS_PER_S)
             for name, running, work, quiet_ms in message.loads
@@ -235,6 +238,7 @@
             route_results=results,
             crashes=[_encode_crash(item, now) for item in ctx.blame.reports()],
             blamed_parts=ctx.blame.decisions()[-MAX_BLAMED_PARTS:],
+            leaving=ctx.engines.leaving_ids()[-MAX_LEAVING:],
         )
 
     def _choose_results(self) -> evidence.EvidenceByKey:
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -40,6 +40,11 @@
     return one == other._replace(warmup_left_s=one.warmup_left_s, revision=one.revision)
 
 
+def _has_restarted(known: routing.Engine, engine: routing.Engine) -> bool:
+    """Tell whether a record is that of a later start of an engine under the same id."""
+    return 0 < known.started_ms < engine.started_ms
+
+
 class EngineSet:
     """The engines of all services.
 
@@ -106,10 +111,11 @@
           now: Time in seconds.
 
         Returns:
-          The change to log: the engine is new, or its draining state changed; None otherwise.
+          The change to log: the engine is new or has restarted, or its draining state changed;
+          None otherwise.
         """
         state = self._states.get(engine.id)
-        if state is None:
+        if state is None or _has_restarted(state.engine, engine):
             state = self._states[engine.id] = enginestate.EngineState(engine)
             state.mark_cold(now, engine.warmup_left_s)
             self._forget_groups()
@@ -128,7 +134,8 @@
     def remove(self, engine_id: str, now: float) -> Change | None:
         """Handle the removal of an engine's record.
 
-        Around an outage of the store, an engine that was not draining is kept as lapsed.
+        Around an outage of the store, an engine that was neither draining nor leaving is kept as
+        lapsed.
 
         Args:
           engine_id: The engine's id.
@@ -140,7 +147,8 @@
         state = self._states.get(engine_id)
         if state is None:
             return None
-        if not state.engine.draining and self._is_near_outage(now):
+        staying = not state.engine.draining and not state.notices.leaving
+        if staying and self._is_near_outage(now):
             if state.lapsed_at is None:
                 state.lapsed_at = now
                 return Change(engine_id, "lapsed")
@@ -157,6 +165,26 @@
         changes += [self.remove(name, now) for name in missing]
         return [item for item in changes if item is not None]
 
+    def record_leaving(self, engine_id: str) -> bool:
+        """Record that an engine says that it leaves; returns whether this was not known yet."""
+        state = self._states.get(engine_id)
+        if state is None or state.notices.leaving:
+            return False
+        state.notices.leaving = True
+        self._forget_groups()
+        return True
+
+    def leaving_ids(self) -> list[str]:
+        """Return the ids of the engines that have said that they leave."""
+        return [name for name, state in self._states.items() if state.notices.leaving]
+
+    def record_hints(self, engine_ids: list[str], now: float) -> None:
+        """Record which engines another gateway reports as leaving."""
+        for engine_id in engine_ids:
+            state = self._states.get(engine_id)
+            if state is not None:
+                state.notices.record_hint(now)
+
     def expire(self, now: float) -> list[Change]:
         """Remove engines whose records lapsed and were not registered again in time."""
         if self._is_near_outage(now):
@@ -187,7 +215,7 @@
     def group(self, service: str, version: str | None) -> enginegroup.EngineGroup:
         """Return a service's engines of a version that may receive requests.
 
-        Engines that are draining or in an evacuated zone are left out.
+        Engines that are draining, leaving or in an evacuated zone are left out.
         """
         found = self._groups.get((service, version))
         if found is None:
@@ -196,6 +224,7 @@
                 for item in self.of_service(service)
                 if item.engine.version == version
                 and not item.engine.draining
+                and not item.notices.leaving
                 and item.engine.zone not in self.evacuated
             )
             self._groups[(service, version)] = found
--- a/berylrock/ops/enginestate.py
+++ b/berylrock/ops/enginestate.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import health, pacing
+from berylrock.ops import health, notices, pacing
 
 __all__ = ["BrokenRequest", "EngineState"]
 
@@ -40,6 +40,7 @@
       engine: The last record of the engine in the store.
       send_window: Requests sent to the engine within the last second.
       health: Health of the engine, derived from its responses.
+      notices: What the engine has said of itself in its answers.
       running: Number of this process's requests that run on the engine.
       work: Work of those requests that have not begun to answer, as in ``enginework``.
       heard_at: Time at which data last arrived from the engine on any connection.
@@ -53,6 +54,7 @@
         self.engine = engine
         self.send_window = pacing.SendWindow()
         self.health = health.EngineHealth()
+        self.notices = notices.EngineNotices()
         self.running = 0
         self.work = 0.0
         self.heard_at = 0.0
--- /dev/null
+++ b/berylrock/ops/notices.py
@@ -0,0 +1,91 @@
+"""What an engine says of itself in its answers: that it leaves, or that it wants a pause.
+
+Scenario: an engine is about to leave, and its record in the store does not say so yet, or the store
+is away. Scenario: an engine refuses a request and names the seconds for which it wants no more from
+this gateway; a request that is sent all the same only delays its recovery.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Protocol
+
+__all__ = ["EngineNotices", "accept_pause", "find_pause_end"]
+
+# Longest pause that is accepted, so that a faulty engine cannot take itself out for a day.
+MAX_PAUSE_S = 120.0
+# For how long an engine that another gateway reports as leaving is avoided, after each report.
+HINT_TTL_S = 3.0
+
+
+class EngineNotices:
+    """What one engine has said to this gateway; a restart of the engine begins with none.
+
+    Times are in seconds on one clock.
+
+    Attributes:
+      leaving: Whether the engine has said that it leaves.
+      paused_until: End of the pause that the engine asked for.
+    """
+
+    def __init__(self) -> None:
+        self.leaving = False
+        self.paused_until = 0.0
+        self._avoided_until = 0.0
+
+    def obstacle(self, now: float) -> str:
+        """Return why the engine must get no request now; empty if it may get one."""
+        if self.leaving:
+            return "engine is leaving"
+        if now < self.paused_until:
+            return "engine asked for a pause"
+        return ""
+
+    def record_pause(self, seconds: float, now: float) -> None:
+        """Record that the engine asked for a pause of these seconds; the later end holds."""
+        self.paused_until = max(self.paused_until, now + seconds)
+
+    def record_hint(self, now: float) -> None:
+        """Record that another gateway reports that the engine leaves."""
+        self._avoided_until = now + HINT_TTL_S
+
+    def is_avoided(self, now: float) -> bool:
+        """Tell whether other engines are preferred, because another gateway saw this one leave."""
+        return now < self._avoided_until
+
+
+class _Noticed(Protocol):
+    """Something with the notices of an engine, such as its state."""
+
+    notices: EngineNotices
+
+
+def accept_pause(retry_after_s: float | None) -> float:
+    """Return the pause to keep after a refusal.
+
+    Args:
+      retry_after_s: Seconds that the engine named; None if it named none, or a date, or anything
+        else that is no number.
+
+    Returns:
+      The pause in seconds, at most ``MAX_PAUSE_S``; 0 if the engine asked for none that makes
+      sense.
+    """
+    if retry_after_s is None or math.isnan(retry_after_s) or retry_after_s <= 0.0:
+        return 0.0
+    return min(MAX_PAUSE_S, retry_after_s)
+
+
+def find_pause_end(engines: Iterable[_Noticed], now: float) -> float | None:
+    """Return when the first engine ends its pause, if requests have to wait for that.
+
+    Args:
+      engines: The engines that could run a request.
+      now: Time in seconds.
+
+    Returns:
+      The end in seconds; None if an engine wants no pause, or if there is none that stays.
+    """
+    staying = [item.notices for item in engines if not item.notices.leaving]
+    if not staying or any(now >= item.paused_until for item in staying):
+        return None
+    return min(item.paused_until for item in staying)
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -140,13 +140,15 @@
         item
         for item in states
         if item.engine.id not in criteria.tried
+        and not item.notices.obstacle(criteria.now)
         and item.send_window.allows(
             criteria.shares.limit(item.engine.id, item.cold_until > criteria.now), criteria.now
         )
         and item.running < criteria.max_running
     ]
     # If all engines are paused after failures, a paused one is better than none.
-    return [item for item in found if item.health.usable(criteria.now)] or found
+    usable = [item for item in found if item.health.usable(criteria.now)] or found
+    return [item for item in usable if not item.notices.is_avoided(criteria.now)] or usable
 
 
 def _cost(
--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -19,6 +19,8 @@
     (
         "config_in_force",
         "engine_changed",
+        "engine_leaving",
+        "engine_paused",
         "history_gone",
         "log_dropped",
         "prompt_part_blamed",
@@ -83,7 +85,7 @@
 def _is_relevant(line: LogLine, engines: set[str], processes: set[str]) -> bool:
     if line.event not in CONTEXT_EVENTS or line.process not in processes:
         return False
-    return line.event != "engine_changed" or line.fields.get("engine") in engines
+    return "engine" not in line.fields or line.fields["engine"] in engines
 
 
 def trace(lines: Iterable[str], request_id: str) -> Trace:
--- a/berylrock/platform/translating.py
+++ b/berylrock/platform/translating.py
@@ -35,6 +35,7 @@
       closes: Whether the engine closes the connection after the response.
       keep_alive_s: Seconds for which the engine keeps the connection open; None if not given.
       framed: Whether the body has a length or chunks; otherwise it ends with the connection.
+      leaving: Whether the engine says that it is about to leave.
       headers: Headers to pass on, as sent.
     """
 
@@ -49,6 +50,7 @@
     closes: bool
     keep_alive_s: float | None
     framed: bool
+    leaving: bool
     headers: tuple[tuple[bytes, bytes], ...]
 
 
@@ -169,6 +171,7 @@
         cold_s=None if cold_ms is None else cold_ms / MS_PER_S,
         closes=b"close" in fields.get(b"connection", b"").lower(),
         keep_alive_s=_parse_keep_alive(fields),
+        leaving=_text(fields, names.LEAVING) == "1",
         framed=b"content-length" in fields or b"transfer-encoding" in fields,
         headers=tuple(item for item in items if item[0].lower() not in dropped),
     )
--- /dev/null
+++ b/features/steps/gateway_notice_decision_steps.py
@@ -0,0 +1,113 @@
+"""Steps on the use of what engines say of themselves, without a process or a network.
+
+Load pattern: engines leave or ask for a pause while others of their service serve; at times there
+are no others.
+"""
+
+import asyncio
+import random
+import types
+
+from behave import then
+from support.gateway_data import make_criteria, make_engine, make_states
+
+from berylrock.daemons.gateway import attempt, pool
+from berylrock.ops import engineset, loadview, selection
+
+SERVICE, VERSION = "models", "v1"
+
+
+def choose(states, now=100.0):
+    """Return the id of the chosen engine; None if there is none."""
+    state = selection.choose(states, make_criteria(now=now), random.Random(1))
+    return None if state is None else state.engine.id
+
+
+def make_set(*names, **more):
+    """Return a set of engines."""
+    engines = engineset.EngineSet()
+    for name in names:
+        engines.put(make_engine(name, **more), 0.0)
+    return engines
+
+
+def usable(engines):
+    """Return the ids of the engines that may be offered for a request."""
+    return {item.engine.id for item in engines.group(SERVICE, VERSION).states}
+
+
+@then("an engine that leaves is not used, also if its record says ready or it is the only one")
+def step_leaving(context):
+    """Check two engines and then one, and a record that is written again."""
+    engines = make_set("e1", "e2")
+    assert engines.record_leaving("e1")
+    assert not engines.record_leaving("e1")
+    engines.put(make_engine("e1", revision=2), 1.0)
+    assert usable(engines) == {"e2"}
+    engines.record_leaving("e2")
+    assert not usable(engines)
+    states = make_states(1)
+    states[0].notices.leaving = True
+    assert choose(states) is None
+
+
+@then("it is gone once its record is removed, also around an outage of the store")
+def step_leaving_removed(context):
+    """Check that it is not kept like an engine whose record lapsed."""
+    engines = make_set("e1", "e2")
+    engines.record_store_lost(1.0)
+    engines.record_leaving("e1")
+    assert engines.remove("e1", 2.0).what == "removed"
+    assert engines.remove("e2", 2.0).what == "lapsed"
+
+
+@then("a new engine at its address is used, and so is the engine once it has started again")
+def step_leaving_restarted(context):
+    """Check another id at the address, and the same id with a later start."""
+    engines = make_set("e1", started_ms=1000)
+    engines.record_leaving("e1")
+    engines.put(make_engine("e2", started_ms=2000), 1.0)
+    assert usable(engines) == {"e2"}
+    engines.put(make_engine("e1", revision=2, started_ms=3000), 2.0)
+    assert usable(engines) == {"e1", "e2"}
+
+
+@then("an engine that another gateway reports as leaving is used only if there is no other")
+def step_hint(context):
+    """Check two engines and then one; the report expires."""
+    states = make_states(2)
+    states[0].notices.record_hint(99.0)
+    assert {choose(states) for _ in range(20)} == {"e1"}
+    assert choose(states[:1]) == "e0"
+    assert not states[0].notices.is_avoided(110.0)
+
+
+@then("a request that waits for a connection to an engine is not sent once the engine leaves")
+def step_waiting(context):
+    """Let the engine say so to another request while a connection is opened."""
+    state = make_states(1)[0]
+
+    class SlowPool(pool.ConnectionPool):
+        async def acquire(self, engine, run_once, timeout_s=0.0):
+            state.notices.leaving = True
+            return object()
+
+        def release(self, engine, conn, closes):
+            context.kept = conn
+
+    assert asyncio.run(start_attempt(state, SlowPool())) == attempt.Failure(
+        False, "engine is leaving", arrived=False
+    )
+    assert context.kept is not None
+    assert state.running == 0
+
+
+async def start_attempt(state, conns):
+    """Start an attempt of a request with the parts of a gateway that it uses before it sends."""
+    meter = types.SimpleNamespace(count=lambda name: None)
+    ctx = types.SimpleNamespace(table=None, load_view=loadview.LoadView(), meter=meter)
+    head = types.SimpleNamespace(parts=(), prompt_tokens=0, model="")
+    route = types.SimpleNamespace(kind="idempotent", resumable=False)
+    req = types.SimpleNamespace(service=SERVICE, head=head, route=route)
+    current = attempt.Attempt(ctx, conns, req, state, "", lambda: False)
+    return await current.start(None, None)
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -62,6 +62,10 @@
       id: The engine's id.
       faults: Faults of the next requests, in order.
       runs: Requests that the engine began to run.
+      arrivals: Times at which requests arrived, run or not, in seconds on the monotonic clock.
+      leaving: Whether each answer says that the engine is about to leave.
+      pause_s: Seconds from the first request for which the engine refuses all requests and asks for
+        none until then; 0 for no pause.
       confidence: Value of the confidence header by model; models without an entry send none.
       event_count: Number of events in a complete stream.
       event_interval_s: Pause after each event, in seconds.
@@ -74,6 +78,9 @@
         self.id = engine_id
         self.faults = []
         self.runs = []
+        self.arrivals = []
+        self.leaving = False
+        self.pause_s = 0.0
         self._refused_id = ""
         self.confidence = {}
         self.event_count = 6
@@ -112,6 +119,10 @@
         run.body = await self._read_body(conn)
         if run.headers.get("x-berylrock-target-instance", self.id) != self.id:
             return await self._send_response(conn, 421, [], b"")
+        self.arrivals.append(time.monotonic())
+        pause_left_s = self.arrivals[0] + self.pause_s - time.monotonic()
+        if self.pause_s and pause_left_s > 0.0:
+            return await self._send_refusal(conn, run.headers[ATTEMPT_ID_HEADER], pause_left_s)
         fault = self.faults.pop(0) if self.faults else ""
         parts = run.headers.get("x-berylrock-prefix-hash", "")
         if run.target.endswith("crasher") or f"{CRASHING_PART}:" in parts:
@@ -130,8 +141,10 @@
             run.cancelled = True
             raise
 
-    async def _send_refusal(self, conn, attempt_id):
+    async def _send_refusal(self, conn, attempt_id, retry_after_s=None):
         headers = [("X-Berylrock-Attempt-Id", attempt_id)] if attempt_id else []
+        if retry_after_s is not None:
+            headers.append(("Retry-After", f"{retry_after_s:.3f}"))
         return await self._send_response(
             conn, 503, [*headers, ("X-Berylrock-Not-Executed", "1")], b""
         )
@@ -212,6 +225,8 @@
         if model in self.confidence:
             headers.append(("X-Berylrock-Hint-Confidence", str(self.confidence[model])))
         headers.append(("Content-Type", "text/event-stream"))
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         if fault == "error stream":
             return await self._send_response(conn, 500, headers, b"id: 4\ndata: error\n\n")
         unframed = fault in ("unframed", "empty")
@@ -247,6 +262,8 @@
 
     async def _send_response(self, conn, status, headers, body):
         headers = [*headers, ("Content-Length", str(len(body)))]
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         await conn.send(h11.Response(status_code=status, headers=headers))
         if body:
             await conn.send(h11.Data(data=body))
