Keep the pause that an engine asks for, whatever else would make it the choice

Cause: the header was cut to one second and kept as a health pause, which the choice of an engine passes over when nothing else is left.

Change: the pause is kept beside 'leaving' in ops/notices, is no part of the health, and shuts the engine out of every choice: last resort, session, retry, resumption. A request that waits for a connection is not sent. 503 and 429 count; 0, negative, not a number and a date are no pause, and over 120 s is 120 s. While all engines want a pause, a request waits for the first end if an answer can still be in time, else it is refused at once, to come back after that end, spread over a quarter of it. In the first second after a pause an engine gets no more than a cold one. An engine that refused a request may get it again after its pause, on a new connection, so that a second copy of that refusal can't be taken for an answer to it.

--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -15,9 +15,8 @@
 __all__ = ["TIMED_OUT", "Attempt", "DeadlineExceeded", "EngineTooSlow", "Failure", "OpenedResponse"]
 
 BAD_REQUEST = 400
-# Back-off for an engine that refused a request without a Retry-After header, and the longest
-# back-off that is accepted from the header.
-DEFAULT_BUSY_PAUSE_S, MAX_BUSY_PAUSE_S = 0.15, 1.0
+# Back-off for an engine that refused a request and asked for no pause.
+DEFAULT_BUSY_PAUSE_S = 0.15
 REFUSAL_READ_TIMEOUT_S = 0.2
 MIN_DEADLINE_S = 0.001
 SILENCE_CHECK_S = 0.1
@@ -43,11 +42,13 @@
       may_have_run: Whether the engine may have started to run the request.
       reason: What happened, for the log.
       arrived: Whether any part of the request may have reached the engine.
+      paused: Whether the engine asked for a pause, and may get the request after that.
     """
 
     may_have_run: bool
     reason: str
     arrived: bool = True
+    paused: bool = False
 
 
 class Attempt:
@@ -194,11 +195,9 @@
         if head.not_run and not self._is_own_refusal(head):
             return self._fail("refusal that may be an earlier one's")
         if head.not_run:
-            pause = head.retry_after_s if head.retry_after_s is not None else DEFAULT_BUSY_PAUSE_S
             if head.status != BAD_REQUEST:
-                self.state.health.record_busy(now, min(MAX_BUSY_PAUSE_S, pause))
-            await self._drain_refusal(head)
-            return Failure(False, f"not run: {head.status}")
+                self.state.health.record_busy(now, DEFAULT_BUSY_PAUSE_S)
+            return await self._end_refused(head)
         if not head.signed or head.encoded or head.request_id != self._req.head.id:
             return self._fail(f"unsigned response {head.status}")
         self.state.begin_answer(self._work)
@@ -213,6 +212,19 @@
         assert self.conn is not None
         return bool(head.request_id) or self.conn.responses_read == 0
 
+    async def _end_refused(self, head: translating.ResponseHead) -> Failure:
+        """End an attempt that the engine refused.
+
+        If the engine may get the request again, after a pause, that must not happen on a connection
+        on which a second copy of this refusal may follow.
+        """
+        paused = bool(self.state.notices.obstacle(asyncio.get_running_loop().time()))
+        if paused:
+            self.end()
+        else:
+            await self._drain_refusal(head)
+        return Failure(False, f"not run: {head.status}", paused=paused)
+
     async def _drain_refusal(self, head: translating.ResponseHead) -> None:
         """Read the rest of a refusal, so that its connection can be reused."""
         assert self.conn is not None
@@ -258,7 +270,7 @@
         self._conns.release(self.state.engine, self.conn, False)
         self.conn = None
         self.end()
-        return Failure(False, reason, arrived=False)
+        return Failure(False, reason, arrived=False, paused=True)
 
     def _fail(self, reason: str) -> Failure:
         self.state.health.record_failure(asyncio.get_running_loop().time())
--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -276,7 +276,7 @@
             organisation=flow.req.organisation,
             session=flow.req.head.session,
             version=flow.dispatcher.version,
-            engines=",".join(flow.dispatcher.tried),
+            engines=",".join(flow.dispatcher.sent_to),
             sends=flow.dispatcher.attempts_sent,
             outcome=flow.responder.outcome,
             last_failure=flow.dispatcher.last_reason,
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -15,6 +15,9 @@
 SERVER_ERROR = 500
 ENGINE_WAIT_STEP_S = 0.015
 RETRY_AFTER_S = 0.4
+# Callers that are refused because all engines want a pause come back within this share of it, after
+# its end.
+PAUSE_SPREAD_SHARE = 0.25
 
 
 class Forwarding:
@@ -47,13 +50,23 @@
         return asyncio.get_running_loop().time()
 
     async def find_engine(self, model: str) -> enginestate.EngineState | None:
-        """Choose an engine, waiting briefly for one that can take the request; None if none can."""
+        """Choose an engine, waiting briefly for one that can take the request; None if none can.
+
+        While all engines want a pause, the request waits for the first one that ends in time.
+        """
         may_have_run = self.dispatcher.attempts_run > 0
-        until = self.now + timeouts.engine_wait_s(self.req.route.latency_target_s, may_have_run)
+        wait_s = timeouts.engine_wait_s(self.req.route.latency_target_s, may_have_run)
+        until = self.now + wait_s
+        usual_s = self.ctx.baselines.usual_first_part_s(self.req.route.name, model)
         while True:
             state = self.dispatcher.choose(model)
-            if state is not None or self.now >= min(until, self.req.expires_at):
+            if state is not None:
                 return state
+            pause_end = self.dispatcher.find_pause_end()
+            if pause_end is not None:
+                until = timeouts.wait_for_pause(pause_end, wait_s, usual_s, self.req.expires_at)
+            if self.now >= min(until, self.req.expires_at):
+                return None
             await asyncio.sleep(ENGINE_WAIT_STEP_S)
 
     def response_start_timeouts(self) -> timeouts.ResponseTimeouts | None:
@@ -77,7 +90,11 @@
             await self.responder.refuse(503, reason, self._retry_after_s())
 
     def _retry_after_s(self) -> float:
-        return RETRY_AFTER_S * (0.5 + self.ctx.rng.random())
+        """Return when the caller should come back, spread over the time after that."""
+        pause_end = self.dispatcher.find_pause_end()
+        pause_s = 0.0 if pause_end is None else max(0.0, pause_end - self.now)
+        spread_s = max(RETRY_AFTER_S, PAUSE_SPREAD_SHARE * pause_s)
+        return pause_s + RETRY_AFTER_S * 0.5 + spread_s * self.ctx.rng.random()
 
     def record_result(
         self, opened: attempt.OpenedResponse, good: bool, first_part_s: float
--- a/berylrock/daemons/gateway/noticing.py
+++ b/berylrock/daemons/gateway/noticing.py
@@ -1,12 +1,15 @@
 """Records what engines say of themselves in their answers."""
 
+import asyncio
+
 from berylrock.daemons.gateway import context
-from berylrock.ops import enginestate
+from berylrock.ops import enginestate, notices
 from berylrock.platform import translating
 
 __all__ = ["record"]
 
 MISDIRECTED = 421
+PAUSING_STATUSES = (429, 503)
 
 
 def record(
@@ -20,6 +23,9 @@
         return
     if head.leaving:
         _record_leaving(ctx, state, head.status)
+    pause_s = notices.accept_pause(head.retry_after_s)
+    if pause_s and head.status in PAUSING_STATUSES:
+        _record_pause(ctx, state, pause_s)
 
 
 def _record_leaving(ctx: context.Context, state: enginestate.EngineState, status: int) -> None:
@@ -27,3 +33,14 @@
         return
     ctx.meter.count("engines_leaving")
     ctx.log.write("engine_leaving", engine=state.engine.id, status=status, running=state.running)
+
+
+def _record_pause(ctx: context.Context, state: enginestate.EngineState, pause_s: float) -> None:
+    state.pause(pause_s, asyncio.get_running_loop().time())
+    ctx.meter.count("engine_pauses")
+    ctx.log.write(
+        "engine_paused",
+        engine=state.engine.id,
+        pause_s=round(pause_s, 2),
+        running=state.running,
+    )
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -10,6 +10,7 @@
     enginestate,
     enginework,
     freshness,
+    notices,
     pacing,
     rollouts,
     selection,
@@ -28,7 +29,8 @@
     """Chooses engines for one request, sends it, and counts its attempts.
 
     Attributes:
-      tried: Ids of the engines that the request was sent to.
+      sent_to: Ids of the engines that the request was sent to.
+      tried: Those that it is not sent to again; one that asked for a pause may get it after that.
       attempts_run: Attempts that an engine may have run.
       attempts_sent: All attempts.
       attempts_arrived: Attempts that may have reached an engine; all but the first are retries.
@@ -39,6 +41,7 @@
     def __init__(
         self, ctx: context.Context, conns: pool.ConnectionPool, req: routing.Request
     ) -> None:
+        self.sent_to: set[str] = set()
         self.tried: set[str] = set()
         self.attempts_run = 0
         self.attempts_sent = 0
@@ -128,6 +131,19 @@
         )
         return selection.choose(offer.states, criteria, ctx.rng, ctx.load_view)
 
+    def find_pause_end(self) -> float | None:
+        """Return when the first engine may get requests again, if all of them asked for a pause.
+
+        Returns:
+          The time on the event loop's clock; None if the request need not wait for that.
+        """
+        table, now = self._ctx.table, asyncio.get_running_loop().time()
+        if table is None or self._req.service not in table.services:
+            return None
+        states = self._group_of(self._choose_version(now)).states
+        untried = [item for item in states if item.engine.id not in self.tried]
+        return notices.find_pause_end(untried, now)
+
     def _group_of(self, version: str | None) -> enginegroup.EngineGroup:
         """Return the engines of a version.
 
@@ -210,6 +226,7 @@
         # Counted before sending, because the engine may run the request as soon as a byte arrives.
         self.attempts_run += 1
         self.attempts_arrived += 1
+        self.sent_to.add(state.engine.id)
         self.tried.add(state.engine.id)
         try:
             result = await current.start(last_event, wait)
@@ -220,4 +237,6 @@
             self.attempts_run -= not result.may_have_run
             self.attempts_arrived -= not result.arrived
             self.last_reason = result.reason
+            if result.paused:
+                self.tried.discard(state.engine.id)
         return result
--- a/berylrock/ops/enginestate.py
+++ b/berylrock/ops/enginestate.py
@@ -11,6 +11,8 @@
 POSSIBLY_COLD_S = 5.0
 # An engine found unreachable within this time after its connections broke counts as crashed.
 CRASH_WINDOW_S = 2.0
+# For this time after a pause that an engine asked for, it gets no more than a cold one.
+PAUSE_RAMP_S = 1.0
 
 
 class BrokenRequest(NamedTuple):
@@ -77,6 +79,11 @@
         """Treat the engine as cold for at least ``seconds`` from now on."""
         self.cold_until = max(self.cold_until, now + seconds)
 
+    def pause(self, seconds: float, now: float) -> None:
+        """Send nothing for these seconds, as the engine asked, and few requests right after."""
+        self.notices.record_pause(seconds, now)
+        self.mark_cold(now, seconds + PAUSE_RAMP_S)
+
     def record_broken(self, broken: BrokenRequest) -> None:
         """Record that a request's connection broke before its response was complete."""
         self.broken = [item for item in self.broken if broken.at - item.at < CRASH_WINDOW_S]
--- a/berylrock/ops/timeouts.py
+++ b/berylrock/ops/timeouts.py
@@ -13,6 +13,7 @@
     "next_event_timeouts",
     "response_start_timeouts",
     "should_abandon",
+    "wait_for_pause",
 ]
 
 # An engine may be dead if nothing arrived from it for this long, or during the whole wait.
@@ -58,6 +59,25 @@
     return share * latency_target_s
 
 
+def wait_for_pause(
+    pause_end: float, wait_s: float, usual_first_part_s: float, expires_at: float
+) -> float:
+    """Return until when a request waits while all engines want a pause.
+
+    Args:
+      pause_end: End of the first pause.
+      wait_s: How long a request waits for an engine that is not free for a moment, in seconds.
+      usual_first_part_s: Usual time to the first part of a response, in seconds; 0 if not known.
+      expires_at: Time by which the final answer is due.
+
+    Returns:
+      The time on the same clock; it has passed if no response would come in time.
+    """
+    if pause_end + usual_first_part_s >= expires_at:
+        return 0.0
+    return pause_end + wait_s
+
+
 def response_start_timeouts(latency_target_s: float) -> ResponseTimeouts:
     """Return the timeouts for the first event of a stream or the head of a complete response.
 
--- a/features/steps/gateway_notice_decision_steps.py
+++ b/features/steps/gateway_notice_decision_steps.py
@@ -12,7 +12,8 @@
 from support.gateway_data import make_criteria, make_engine, make_states
 
 from berylrock.daemons.gateway import attempt, pool
-from berylrock.ops import engineset, loadview, selection
+from berylrock.ops import engineset, loadview, notices, selection, timeouts
+from berylrock.platform import translating
 
 SERVICE, VERSION = "models", "v1"
 
@@ -82,6 +83,53 @@
     assert not states[0].notices.is_avoided(110.0)
 
 
+@then("a Retry-After of {text} is a pause of {seconds:g} s")
+def step_accepted(context, text, seconds):
+    """Check the value as the adapter reads it, and what is kept of it."""
+    pause_s = notices.accept_pause(read_retry_after(text))
+    assert pause_s == seconds, pause_s
+
+
+def read_retry_after(text):
+    """Return the number of seconds in a refusal's header; None if there is none."""
+    head = translating.read_response_head(503, [(b"Retry-After", text.encode())])
+    return head.retry_after_s
+
+
+@then("an engine that wants a pause gets nothing, also as the only one or after other answers")
+def step_paused(context):
+    """Check one engine until the end of its pause; a shorter pause does not end a longer one."""
+    states = make_states(1)
+    states[0].pause(3.0, 100.0)
+    states[0].pause(1.0, 100.1)
+    states[0].health.record_response(0.1)
+    assert choose(states, 102.9) is None
+    assert choose(states, 103.0) == "e0"
+
+
+@then("it gets no more than a cold one in the first second after that")
+def step_ramp(context):
+    """Check the limit by which a cold engine is sent to."""
+    states = make_states(1)
+    states[0].pause(3.0, 100.0)
+    assert states[0].cold_until == 104.0
+
+
+@then("requests wait for the first pause that ends in time, and are refused if none does")
+def step_wait_for_pause(context):
+    """Check the first end, an engine without a pause, and the time that an answer takes."""
+    states = make_states(2)
+    states[0].pause(3.0, 100.0)
+    assert notices.find_pause_end(states, 100.0) is None
+    states[1].pause(5.0, 100.0)
+    assert notices.find_pause_end(states, 100.0) == 103.0
+    states[0].notices.leaving = True
+    assert notices.find_pause_end(states, 100.0) == 105.0
+    assert notices.find_pause_end([], 100.0) is None
+    assert timeouts.wait_for_pause(103.0, 0.1, 0.5, 104.0) == 103.1
+    assert timeouts.wait_for_pause(103.0, 0.1, 1.5, 104.0) < 100.0
+
+
 @then("a request that waits for a connection to an engine is not sent once the engine leaves")
 def step_waiting(context):
     """Let the engine say so to another request while a connection is opened."""
@@ -96,7 +144,7 @@
             context.kept = conn
 
     assert asyncio.run(start_attempt(state, SlowPool())) == attempt.Failure(
-        False, "engine is leaving", arrived=False
+        False, "engine is leaving", arrived=False, paused=True
     )
     assert context.kept is not None
     assert state.running == 0
