Let engines leave and pause in the soak, and check that gateways heed it

The stand-in says in its answers that it leaves, and later starts again under its id with another start time, or asks for a pause. Checked from what arrives: nothing from a gateway 2 s after it passed such an answer on, at most two requests in a pause.

--- a/features/steps/gateway_notice_steps.py
+++ b/features/steps/gateway_notice_steps.py
@@ -87,7 +87,7 @@
 @then("that engine got 1 request in the first {seconds:g} s, and more after that")
 def step_paused(context, seconds):
     """Check the times of its requests, from the first one."""
-    times = [at - context.pausing[0].arrivals[0] for at in context.pausing[0].arrivals]
+    times = [item.at - context.pausing[0].arrivals[0].at for item in context.pausing[0].arrivals]
     assert sum(at < seconds for at in times) == 1, times
     assert len(times) > 1, times
 
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from typing import NamedTuple
 
 import h11
 
@@ -31,6 +32,22 @@
         self.started_at = time.monotonic()
 
 
+class Arrival(NamedTuple):
+    """A request that arrived, whether it was run or not, and what its answer says of the engine.
+
+    Attributes:
+      at: Time of its arrival, in seconds on the monotonic clock.
+      attempt_id: Its id.
+      paused_until: End of the pause that the engine asked for, on the same clock; 0 for none.
+      leaving: Whether the answer says that the engine leaves.
+    """
+
+    at: float
+    attempt_id: str
+    paused_until: float
+    leaving: bool
+
+
 class StandInEngine:
     """Answers requests, each with the next fault of its list, and correctly once the list is empty.
 
@@ -62,9 +79,9 @@
       id: The engine's id.
       faults: Faults of the next requests, in order.
       runs: Requests that the engine began to run.
-      arrivals: Times at which requests arrived, run or not, in seconds on the monotonic clock.
+      arrivals: The ``Arrival`` of each request.
       leaving: Whether each answer says that the engine is about to leave.
-      pause_s: Seconds from the first request for which the engine refuses all requests and asks for
+      pause_s: Seconds from the next request for which the engine refuses all requests and asks for
         none until then; 0 for no pause.
       confidence: Value of the confidence header by model; models without an entry send none.
       event_count: Number of events in a complete stream.
@@ -81,6 +98,7 @@
         self.arrivals = []
         self.leaving = False
         self.pause_s = 0.0
+        self._paused_until = 0.0
         self._refused_id = ""
         self.confidence = {}
         self.event_count = 6
@@ -119,10 +137,13 @@
         run.body = await self._read_body(conn)
         if run.headers.get("x-berylrock-target-instance", self.id) != self.id:
             return await self._send_response(conn, 421, [], b"")
-        self.arrivals.append(time.monotonic())
-        pause_left_s = self.arrivals[0] + self.pause_s - time.monotonic()
-        if self.pause_s and pause_left_s > 0.0:
-            return await self._send_refusal(conn, run.headers[ATTEMPT_ID_HEADER], pause_left_s)
+        now, attempt_id = time.monotonic(), run.headers[ATTEMPT_ID_HEADER]
+        if self.pause_s:
+            self._paused_until, self.pause_s = now + self.pause_s, 0.0
+        paused_until = self._paused_until if now < self._paused_until else 0.0
+        self.arrivals.append(Arrival(now, attempt_id, paused_until, self.leaving))
+        if paused_until:
+            return await self._send_refusal(conn, attempt_id, paused_until - now)
         fault = self.faults.pop(0) if self.faults else ""
         parts = run.headers.get("x-berylrock-prefix-hash", "")
         if run.target.endswith("crasher") or f"{CRASHING_PART}:" in parts:
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -112,6 +112,7 @@
       thread: The event loop on which the stand-ins run.
       store: The stand-in store.
       engines: Stand-in engines by name.
+      started_ms: When each engine started, as it says of itself.
       config_version: Version of the initial configuration.
       entry: The gateway.
     """
@@ -135,6 +136,7 @@
         self.store.lost_pages = lost_pages
         self.thread.run(self.store.start())
         self.engines = {}
+        self.started_ms = {}
         self.config_version = 1
         self.entry = gatewayprocess.GatewayProcess(
             self.root,
@@ -185,6 +187,7 @@
             item = engine.StandInEngine(name)
             self.thread.run(item.start())
             self.engines[name] = item
+            self.started_ms[name] = 1
         entry = {
             "backend": service,
             "address": self.address_of(name),
@@ -194,6 +197,7 @@
             "state": state,
             "warmup-left-ms": 0,
             "sequence": 1,
+            "born": self.started_ms[name],
         }
         self.put("servers", name, entry)
         return item
--- a/features/support/platform/soak.py
+++ b/features/support/platform/soak.py
@@ -35,7 +35,8 @@
       The schedule, the number of calls, and the descriptions of the breaches.
     """
     rng = random.Random(seed)
-    schedule = soakfaults.make_schedule(rng, seconds)
+    notices = soakfaults.make_notices(random.Random(f"notices {seed}"), seconds)
+    schedule = sorted(soakfaults.make_schedule(rng, seconds) + notices)
     soak_fleet = soakfleet.SoakFleet(root)
     try:
         return schedule, *_run_schedule(soak_fleet, rng, schedule)
--- a/features/support/platform/soakchecks.py
+++ b/features/support/platform/soakchecks.py
@@ -10,6 +10,8 @@
 # the others, and a draining engine may still get new requests for DRAIN_S.
 CONTACT_S, DRAIN_S = 3.0, 2.0
 DEADLINE_SLACK_S = 0.5
+# A pause that an engine asks for holds from so long after its answer, but for a few requests.
+PAUSE_SLACK_S, MAX_EARLY = 0.5, 2
 # Events of a complete stream.
 EVENT_COUNT = 6
 # Kinds of timeline entries that are faults, not planned changes.
@@ -32,6 +34,7 @@
         self.breaches = []
         self._calls = {call.id: call for call in calls}
         self._timeline = timeline
+        self._engines = engines
         self._runs = {}
         for name, engine in engines.items():
             for run in engine.runs:
@@ -47,6 +50,8 @@
             self._check_answer(call, runs)
             self._check_end(call, runs)
         self._check_drains()
+        for name, engine in self._engines.items():
+            self._check_notices(name, engine.arrivals)
         return self.breaches
 
     def _add_breach(self, promise, call_id, detail):
@@ -152,6 +157,44 @@
                             f"{name} ran it {run.started_at - entry.at:.2f} s after draining began",
                         )
 
+    def _check_notices(self, name, arrivals):
+        """Check that each gateway heeds what an engine has said to it."""
+        by_gateway = {}
+        for item in arrivals:
+            call = self._calls.get(item.attempt_id)
+            if call is not None and call.status:
+                by_gateway.setdefault(call.gateway, []).append(item)
+        for gateway, items in by_gateway.items():
+            for index, notice in enumerate(items):
+                self._check_pause(name, gateway, notice, items[index + 1 :])
+                self._check_leaving(name, gateway, notice, items[index + 1 :])
+
+    def _excuses(self, notice, later, gateway):
+        """Tell whether the gateway may not have got the notice, or was started again since."""
+        span = (notice.at - CONTACT_S, later.at)
+        return self._disturbed(*span, gateway, (*UNPLANNED_KINDS, "started"))
+
+    def _check_pause(self, name, gateway, notice, later):
+        early = [
+            item for item in later if notice.at + PAUSE_SLACK_S < item.at < notice.paused_until
+        ]
+        if len(early) <= MAX_EARLY or self._excuses(notice, early[-1], gateway):
+            return
+        self._add_breach("pause", early[-1].attempt_id, f"{name} got {len(early)} in its pause")
+
+    def _check_leaving(self, name, gateway, notice, later):
+        if not notice.leaving or not self._calls[notice.attempt_id].whole:
+            return
+        late = []
+        for item in later:
+            if not item.leaving:
+                # The engine has started again.
+                break
+            if item.at > notice.at + DRAIN_S:
+                late.append(item)
+        if late and not self._excuses(notice, late[0], gateway):
+            self._add_breach("leaving", late[0].attempt_id, f"{name} got it from {gateway}")
+
 
 def find_breaches(calls, engines, faults: soakfaults.Faults):
     """Return the descriptions of all breaches in a run.
--- a/features/support/platform/soakfaults.py
+++ b/features/support/platform/soakfaults.py
@@ -11,6 +11,10 @@
 FAULTS_PER_S = (0.5, 2.5)
 # A draining engine goes on serving for longer than it may get new requests.
 DRAIN_EXTRA_S = 3.0
+# What engines say of themselves is drawn apart, so that the other faults of a seed stay the same.
+NOTICE_KINDS = ("pause_engine", "announce_leaving")
+NOTICES_PER_S = 0.6
+MS_PER_S = 1000.0
 # Returned by a function that ends a fault if it has to be called again.
 NOT_ENDED = "again"
 
@@ -84,6 +88,24 @@
     return sorted(faults)
 
 
+def make_notices(rng, seconds):
+    """Draw when engines ask for a pause or say that they leave.
+
+    Args:
+      rng: The random generator.
+      seconds: Time within which they do, in seconds.
+
+    Returns:
+      The faults, sorted by their times.
+    """
+    faults, at_s = [], rng.expovariate(NOTICES_PER_S)
+    while at_s < seconds:
+        duration_s = DRAIN_EXTRA_S + rng.uniform(0.1, MAX_DURATION_S)
+        faults.append(Fault(at_s, rng.choice(NOTICE_KINDS), rng.random(), duration_s))
+        at_s += rng.expovariate(NOTICES_PER_S)
+    return faults
+
+
 class Faults:
     """Injects faults into a fleet.
 
@@ -280,6 +302,26 @@
 
         return end
 
+    def pause_engine(self, draw):
+        """Let an engine refuse requests for a while, and ask for none until then."""
+        item = self._pick_engine(draw)
+        item.pause_s = 0.5 + MAX_DURATION_S * draw
+        return lambda: None
+
+    def announce_leaving(self, draw):
+        """Let an engine say in its answers that it leaves, and start again when the fault ends."""
+        item = self._pick_engine(draw)
+        service, _, version = item.id.partition("-")
+        version = version if version in self.versions else "v1"
+        item.leaving = True
+
+        def end():
+            item.leaving = False
+            self._fleet.started_ms[item.id] = int(self._clock() * MS_PER_S)
+            self._fleet.add_engine(item.id, service, version)
+
+        return end
+
     def evacuate(self, _):
         """Evacuate an availability zone without engines for a while; the other zones go on."""
         self._fleet.put("evacuations", "giarre-d", {})
--- a/features/support/platform/soakmutants.py
+++ b/features/support/platform/soakmutants.py
@@ -62,6 +62,18 @@
         "while self._open and loop.time() < drain_until:",
         "while False:",
     ),
+    _remove(
+        "what an engine says of its leaving counts",
+        f"{GATEWAY}/noticing.py",
+        "    if head.leaving:\n",
+        "    if False:\n",
+    ),
+    _remove(
+        "a pause that an engine asks for is kept",
+        f"{GATEWAY}/noticing.py",
+        "    if pause_s and",
+        "    if False and",
+    ),
     _remove(
         "a caller's key goes no further",
         "platform/names.py",
