--- a/berylrock/daemons/gateway/admitting.py
+++ b/berylrock/daemons/gateway/admitting.py
@@ -40,6 +40,12 @@
     return hasher.hexdigest()
 
 
+def _is_too_old(ctx: context.Context) -> bool:
+    """Tell whether a key of the configuration may have been withdrawn too long ago."""
+    age_s = ctx.config_freshness.age(freshness.boottime_clock())
+    return age_s > ctx.cfg.bounds.revoke_s - FRESHNESS_MARGIN_S
+
+
 def admit(
     ctx: context.Context, head: routing.RequestHead, body: bytes, received_at: float
 ) -> routing.Request | Refused:
@@ -57,8 +63,7 @@
     table = ctx.table
     if table is None or not ctx.engines_known:
         return Refused(503, "no_configuration", RETRY_AFTER_S)
-    age = ctx.config_freshness.age(freshness.boottime_clock())
-    if age > ctx.cfg.bounds.revoke_s - FRESHNESS_MARGIN_S:
+    if _is_too_old(ctx):
         return Refused(503, "configuration_too_old", RETRY_AFTER_S)
     route = table.find_route(head.host, head.target)
     if route is None:
--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -4,7 +4,16 @@
 
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
-from berylrock.ops import backoff, evidence, freshness, rolloutclock, rollouts, trials, turns
+from berylrock.ops import (
+    backoff,
+    evidence,
+    freshness,
+    rolloutclock,
+    rollouts,
+    sampling,
+    trials,
+    turns,
+)
 from berylrock.platform import decoding, names
 
 __all__ = ["RolloutController"]
@@ -89,7 +98,7 @@
         by_route, usual_by_route = ctx.evidence.by_route(trial), ctx.evidence.by_route(stable)
         judge.update(by_route, usual_by_route)
         total, usual = ctx.evidence.total(trial), ctx.evidence.total(stable)
-        comparable = usual if judge.streams else trials.reweigh(by_route, usual_by_route)
+        comparable = usual if judge.streams else sampling.reweigh(by_route, usual_by_route)
         fault = judge.find_fault() or rollouts.find_fault(total, comparable)
         return rollouts.Verdict(fault, judge.find_doubt(rollout.stage), total, usual)
 
@@ -100,7 +109,7 @@
         if rollout.state == "running" and not vetoed:
             age_s = progress.clock.age_s(now)
             bounds = ctx.cfg.bounds
-            shares = trials.sampling_shares(progress.judge, age_s, rollout.duration_s, bounds)
+            shares = sampling.sampling_shares(progress.judge, age_s, rollout.duration_s, bounds)
         ctx.sampling_shares[rollout.service] = shares
 
     def _log_held(
@@ -185,7 +194,7 @@
         """Return the start times of a rollout's stages at the current rate of requests."""
         ctx, service = self._ctx, rollout.service
         bounds = ctx.cfg.bounds
-        margin_s = trials.second_stage_margin_s(
+        margin_s = sampling.second_stage_margin_s(
             ctx.runs_models(service), ctx.request_rate(service), bounds
         )
         return rollouts.make_schedule(rollout.duration_s, bounds.canary_share, margin_s)
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -158,10 +158,7 @@
         try:
             self.conn = await self._conns.acquire(engine, run_once)
         except http1.ConnectFailed as exc:
-            now = loop.time()
-            self.state.health.record_unreachable(now)
-            self._ctx.record_engine_crash(engine.id, self.state.take_broken(now), now)
-            self.state.mark_cold(now)
+            self._record_unreachable()
             self.end()
             return Failure(False, f"unreachable: {exc}", arrived=False)
         obstacle = self.state.notices.obstacle(loop.time())
@@ -237,6 +234,13 @@
             # The refusal is still valid; only the connection is lost.
             self.end()
 
+    def _record_unreachable(self) -> None:
+        """Record that the engine accepts no connection, which may be due to what it was running."""
+        state, now = self.state, asyncio.get_running_loop().time()
+        state.health.record_unreachable(now)
+        state.mark_cold(now)
+        self._ctx.record_engine_crash(state.engine.id, state.take_broken(now), now)
+
     def record_broken(self) -> None:
         """Record a broken connection, and check whether the engine crashed with its requests."""
         state, now = self.state, asyncio.get_running_loop().time()
@@ -255,10 +259,7 @@
         try:
             conn = await http1.EngineConnection.open(engine.address, pool.CONNECT_TIMEOUT_S)
         except http1.ConnectFailed:
-            now = asyncio.get_running_loop().time()
-            state.health.record_unreachable(now)
-            state.mark_cold(now)
-            self._ctx.record_engine_crash(engine.id, state.take_broken(now), now)
+            self._record_unreachable()
             return
         state.broken.clear()
         self._conns.release(engine, conn, False)
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import baselines, rollouts, trials
+from berylrock.ops import baselines, rollouts, sampling, trials
 
 STEP_S = 0.1
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
@@ -148,12 +148,12 @@
 
     def _decide(self, age_s):
         duration_s = self._rollout.duration_s
-        margin_s = trials.second_stage_margin_s(
+        margin_s = sampling.second_stage_margin_s(
             self.STREAMS, self.requests / max(1.0, age_s), BOUNDS
         )
         trial, stable = self._results["v2"], self._results["v1"]
         self._judge.update(trial, stable)
-        usual = self._total("v1") if self.STREAMS else trials.reweigh(trial, stable)
+        usual = self._total("v1") if self.STREAMS else sampling.reweigh(trial, stable)
         fault = self._judge.find_fault() or rollouts.find_fault(self._total("v2"), usual)
         decision = rollouts.decide(
             self._rollout,
@@ -162,7 +162,7 @@
             age_s - self._stage_at,
             rollouts.make_schedule(duration_s, CANARY_SHARE, margin_s),
         )
-        self._sampling = trials.sampling_shares(self._judge, age_s, duration_s, BOUNDS)
+        self._sampling = sampling.sampling_shares(self._judge, age_s, duration_s, BOUNDS)
         if decision is None:
             return
         if decision.state not in ("new", "running"):
