Let any gateway try a blamed part again, and look less often while all engines pause

Only the first gateway by name tried a blamed part again. A part that is blamed by mistake and whose callers reach another gateway would have been refused for good. While all engines want a pause, each waiting request looked for an engine every 15 ms. It now sleeps until the first pause ends, 0.1 s at most, since another engine may come.

Before: the step on trials red (the second gateway never tries); after: green.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -210,13 +210,13 @@
         """Find a blamed part in a request's prompt.
 
         Returns:
-          The part, empty if there is none, and whether the request may try it once. One gateway
-          tries for all.
+          The part, empty if there is none, and whether the request may try it once.
         """
         part = self.blame.find_blamed(head.shared_parts)
-        if not part or self.position_by_datagram():
+        if not part:
             return part, False
-        return part, self.blame.take_trial(part, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        return part, self.blame.take_trial(part, self.position_by_datagram(), now)
 
     def position_by_datagram(self) -> int:
         """Return the position of this gateway, from 0, by name among those heard by datagram."""
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -13,7 +13,8 @@
 
 MAX_RESPONSE_BYTES = 8_388_608
 SERVER_ERROR = 500
-ENGINE_WAIT_STEP_S = 0.015
+# Time between two looks for an engine that is free, and while all engines want a pause, in seconds.
+ENGINE_WAIT_STEP_S, PAUSE_WAIT_STEP_S = 0.015, 0.1
 RETRY_AFTER_S = 0.4
 # Callers that are refused because all engines want a pause come back within this share of it, after
 # its end.
@@ -67,7 +68,8 @@
                 until = timeouts.wait_for_pause(pause_end, wait_s, usual_s, self.req.expires_at)
             if self.now >= min(until, self.req.expires_at):
                 return None
-            await asyncio.sleep(ENGINE_WAIT_STEP_S)
+            left_s = 0.0 if pause_end is None else pause_end - self.now
+            await asyncio.sleep(min(PAUSE_WAIT_STEP_S, max(ENGINE_WAIT_STEP_S, left_s)))
 
     def response_start_timeouts(self) -> timeouts.ResponseTimeouts | None:
         """Return how long to wait for the response to begin; None to stay with the engine."""
--- a/berylrock/ops/crashblame.py
+++ b/berylrock/ops/crashblame.py
@@ -41,7 +41,8 @@
 # Parts, decisions on them, and reports that are remembered.
 MAX_PARTS, MAX_DECISIONS, MAX_KNOWN_REPORTS = 20_000, 256, 1000
 # A blamed part is tried again by one request after this time, which doubles each time, in seconds.
-FIRST_TRIAL_S, MAX_TRIAL_S = 60.0, 3600.0
+# The gateways try in turn, so that one which gets such requests finds out for all.
+FIRST_TRIAL_S, MAX_TRIAL_S, TRIAL_TURN_S = 60.0, 3600.0, 30.0
 # Reports that a message carries, the newest ones.
 MAX_REPORTS = 10
 MAX_REPORTED_PARTS = 4
@@ -136,9 +137,16 @@
             if known is None or report.at - known.at >= SAME_CRASH_S:
                 self._reports[key] = report
                 self._has_news = True
+                self._record_failed_trial(report)
         while len(self._reports) > MAX_KNOWN_REPORTS:
             del self._reports[next(iter(self._reports))]
 
+    def _record_failed_trial(self, report: CrashReport) -> None:
+        """Postpone the next trial of a blamed part that has crashed another engine."""
+        for part in report.parts:
+            if self.is_blamed(part) and report.sent_at >= self._trials[part].due:
+                self._postpone_trial(part, report.at)
+
     def adopt(self, decision: routing.BlamedPart, now: float) -> bool:
         """Adopt another gateway's decision if it is later; returns whether it changes anything.
 
@@ -154,7 +162,7 @@
         if not decision.blamed:
             # The crashes until now say no more against the part.
             self._begun[decision.part] = now
-        self._trials.setdefault(decision.part, _Trial(now + FIRST_TRIAL_S, FIRST_TRIAL_S))
+        self._trials[decision.part] = _Trial(now + FIRST_TRIAL_S, FIRST_TRIAL_S)
         return known is None or known.blamed != decision.blamed
 
     def _keep(self, decision: routing.BlamedPart) -> None:
@@ -180,15 +188,23 @@
             return ""
         return next((part for part in parts if self.is_blamed(part)), "")
 
-    def take_trial(self, part: str, now: float) -> bool:
-        """Tell whether a request may try a blamed part now; if so, the next one has to wait."""
-        trial = self._trials.get(part, _Trial(0.0, FIRST_TRIAL_S))
-        if now < trial.due:
+    def take_trial(self, part: str, turn: int, now: float) -> bool:
+        """Tell whether a request may try a blamed part now; if so, the next one has to wait.
+
+        Args:
+          part: The part.
+          turn: Place of this gateway among all that may try, from 0.
+          now: Time in seconds.
+        """
+        if now < self._trials[part].due + turn * TRIAL_TURN_S:
             return False
-        pause_s = min(MAX_TRIAL_S, 2.0 * trial.pause_s)
-        self._trials[part] = _Trial(now + pause_s, pause_s)
+        self._postpone_trial(part, now)
         return True
 
+    def _postpone_trial(self, part: str, now: float) -> None:
+        pause_s = min(MAX_TRIAL_S, 2.0 * self._trials[part].pause_s)
+        self._trials[part] = _Trial(now + pause_s, pause_s)
+
     def decide(self, now: float, now_ms: int) -> list[routing.BlamedPart]:
         """Blame the parts that explain the crashes, and return the new decisions.
 
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -216,7 +216,7 @@
     Then a part that another gateway blames is refused, and one that it clears is not
     And an earlier decision does not replace a later one
     And a part that another gateway clears is not blamed for the same crashes again
-    And a blamed part is tried again by one request after a minute
+    And a blamed part is tried again by one request after a minute, and then by another gateway
     And a part that an engine has begun to answer lately is not blamed, whoever blames it
 
   Scenario: Gateways pool their results on a version on trial
--- a/features/steps/gateway_crash_steps.py
+++ b/features/steps/gateway_crash_steps.py
@@ -192,15 +192,20 @@
     assert not blame.is_blamed(BAD)
 
 
-@then("a blamed part is tried again by one request after a minute")
+@then("a blamed part is tried again by one request after a minute, and then by another gateway")
 def step_trial(context):
-    """Check that the pause grows, and that an answer clears the part."""
-    blame = crashblame.CrashBlame()
-    blame.adopt(routing.BlamedPart(BAD, True, 1000), 0.0)
+    """Check that the pause grows, that gateways take turns, and that an answer clears the part."""
+    blame, other = crashblame.CrashBlame(), crashblame.CrashBlame()
     pause_s = crashblame.FIRST_TRIAL_S
-    assert not blame.take_trial(BAD, pause_s - 1.0)
-    assert blame.take_trial(BAD, pause_s)
-    assert not blame.take_trial(BAD, 2.9 * pause_s)
-    assert blame.take_trial(BAD, 3.0 * pause_s)
-    assert blame.record_begun((FIRST, BAD), 1000.0, 1_000_000) == (BAD,)
-    assert not blame.is_blamed(BAD)
+    for item in (blame, other):
+        item.adopt(routing.BlamedPart(BAD, True, 1000), 0.0)
+    assert not blame.take_trial(BAD, 0, pause_s - 1.0)
+    assert not other.take_trial(BAD, 1, pause_s + 1.0)
+    assert blame.take_trial(BAD, 0, pause_s + 1.0)
+    assert not blame.take_trial(BAD, 0, 2.9 * pause_s)
+    crash(blame, 1, [(1, BAD)], pause_s + 2.0)
+    other.record_peer(blame.reports())
+    assert not other.take_trial(BAD, 1, 3.0 * pause_s + crashblame.TRIAL_TURN_S)
+    assert other.take_trial(BAD, 1, 3.1 * pause_s + crashblame.TRIAL_TURN_S)
+    assert other.record_begun((FIRST, BAD), 1000.0, 1_000_000) == (BAD,)
+    assert not other.is_blamed(BAD)
