--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -273,6 +273,63 @@
         "self._next_event_timeouts(opened)\n",
         "A stream that stalls with comment lines",
     ),
+    Mutant(
+        "crash-order",
+        "ops/crashblame.py",
+        "and case.rounds >= MIN_ROUNDS",
+        "and case.rounds >= 0",
+        "Engines crash for other reasons",
+    ),
+    Mutant(
+        "crash-parts",
+        "ops/crashblame.py",
+        "            if not item.begun and item.shared_parts\n",
+        "            if False\n",
+        "Requests with a prompt part that crashes engines",
+    ),
+    Mutant(
+        "refusal-again",
+        "daemons/gateway/attempt.py",
+        "bool(head.request_id) or self.conn.responses_read == 0",
+        "True",
+        "A request whose engine writes an earlier refusal once more",
+    ),
+    Mutant(
+        "unframed-end",
+        "daemons/gateway/streaming.py",
+        "        if not opened.head.framed and not self._event_count:\n",
+        "        if False:\n",
+        "After a stream has begun",
+    ),
+    Mutant(
+        "leaving-now",
+        "daemons/gateway/noticing.py",
+        "    if head.leaving:\n",
+        "    if False:\n",
+        "An engine leaves while the store is away",
+    ),
+    Mutant(
+        "pause",
+        "ops/selection.py",
+        "        and not item.notices.obstacle(criteria.now)\n",
+        "",
+        "An engine that asks for a pause gets none",
+        (Edit("daemons/gateway/attempt.py", "        if obstacle:\n", "        if False:\n"),),
+    ),
+    Mutant(
+        "route-test",
+        "ops/trials.py",
+        "                if test.bad >= min_bad and test.score >= sequentialtest.FAULT_SCORE:\n",
+        "                if False:\n",
+        "A version is judged on each route",
+    ),
+    Mutant(
+        "held",
+        "ops/rollouts.py",
+        "    return bool(verdict.doubt) and",
+        "    return False and",
+        "A plain service's version that fails look",
+    ),
 )
 
 
