Ask for the other gateways' records before a started gateway serves

Found by a new scenario with three processes: a gateway that was killed and started again was ready 20 ms later, took a request with a part that all gateways refuse, and crashed three engines with it. The records were first read 1.5 s after the start.

Change: the records are asked for at the start, not from a stale list, and before that is answered, or has failed, the gateway is not ready and answers 503, as before it has engines. Class: what must not be sent (crashing requests, versions found bad) was learnt later than what may be sent.

Before: 'Gateways find a crashing prompt part together, and one that was killed knows it again' red in its last but one step (502, three engines crashed); after: green three times of three, ready as quickly as before. The scenario also shows that two requests suffice for all three gateways (six crashes at most).

--- a/berylrock/daemons/gateway/admitting.py
+++ b/berylrock/daemons/gateway/admitting.py
@@ -61,7 +61,7 @@
       The request to run, or the refusal.
     """
     table = ctx.table
-    if table is None or not ctx.engines_known:
+    if table is None or not ctx.informed:
         return Refused(503, "no_configuration", RETRY_AFTER_S)
     if _is_too_old(ctx):
         return Refused(503, "configuration_too_old", RETRY_AFTER_S)
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -66,6 +66,8 @@
         clock.
       engines: Known engines and their state.
       engines_known: Whether a full list of engines has been read.
+      peers_asked: Whether the other gateways' records have been read, or at least asked for, since
+        the start. They name what must not be sent: crashing requests, and versions found bad.
       rollouts: Rollouts by service.
       evidence: Results of each version, and the versions that were found bad.
       sampling_shares: Share of the requests without a session that goes to the version on trial, by
@@ -106,6 +108,7 @@
         self.relayed_at = float("-inf")
         self.engines = engineset.EngineSet()
         self.engines_known = False
+        self.peers_asked = False
         self.rollouts: dict[str, routing.Rollout] = {}
         self._plans: dict[str, tuple[_PlanBasis, rollouts.Plan]] = {}
         self.evidence = evidence.EvidencePool()
@@ -127,10 +130,15 @@
         """When the configuration was last confirmed by the store."""
         return self.views[names.CONFIG_KIND].freshness
 
+    @property
+    def informed(self) -> bool:
+        """Whether enough has been read since the start to serve requests."""
+        return self.table is not None and self.engines_known and self.peers_asked
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send callers to this gateway."""
-        if self.table is None or not self.engines_known or self.stopping:
+        if not self.informed or self.stopping:
             return False
         now = freshness.boottime_clock()
         needed = (names.CONFIG_KIND, names.ENGINES_KIND)
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -121,6 +121,7 @@
         timers.every(confirming.CHECK_INTERVAL_S, confirmer.confirm_if_due)
         timers.every(EXPIRY_INTERVAL_S, self._expire_state)
         timers.every(RECORD_INTERVAL_S, self._record.publish_if_due)
+        timers.spawn(self._store_sync.read_peers())
         timers.every(PEERS_INTERVAL_S, self._store_sync.read_peers)
         timers.every(gossip.BROADCAST_INTERVAL_S, self._gossip.broadcast)
         timers.every(ROLLOUT_INTERVAL_S, self._rollout_controller.decide_rollouts)
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -132,15 +132,17 @@
     async def read_peers(self) -> None:
         """Read the records of all gateways, unless they come through a relay.
 
-        The list may be some seconds old.
+        The list may be some seconds old, but for the first one.
         """
         if self._ctx.relay:
             return
         try:
-            listing = await self._ctx.store.list(names.PEERS_KIND, stale=True)
+            listing = await self._ctx.store.list(names.PEERS_KIND, stale=self._ctx.peers_asked)
         except (errors.StoreUnavailable, errors.NotFound) as exc:
             self._ctx.log.write("peers_not_read", error=str(exc))
             return
+        finally:
+            self._ctx.peers_asked = True
         watching.apply_listing(self._ctx, self.peers_watch(), listing, True)
 
     def peers_watch(self) -> watching.KindWatch:
--- a/features/steps/gateway_crasher_steps.py
+++ b/features/steps/gateway_crasher_steps.py
@@ -2,8 +2,10 @@
 
 import time
 
-from behave import then, when
-from support.platform import engine
+from behave import given, then, when
+from support.platform import engine, fleet, scenario, soakfleet
+
+from berylrock.ops import crashblame
 
 
 @when("a read that crashes engines is sent repeatedly between other reads")
@@ -78,3 +80,124 @@
     """Check the others; an engine that restarts may fail one of them."""
     answered = [answer for _, answer in context.results if answer.status == 200]
     assert len(answered) >= len(context.results) - 2, context.results
+
+
+class DirectFleet(soakfleet.SoakFleet):
+    """Three gateways that notice by themselves when an engine accepts no connection."""
+
+    address_of = fleet.GatewayFleet.address_of
+
+
+@given("three gateways that connect to the engines directly")
+def step_direct_fleet(context):
+    """Start the gateways and the engines."""
+    context.gateway = DirectFleet(context.root)
+    context.cleanups.append(context.gateway.stop)
+    for item in scenario.model_engines(context):
+        item.restart_delay_s = crashblame.SAME_CRASH_S + 0.2
+    context.gateway.start_all()
+    context.names = sorted(context.gateway.gateways)
+    context.sent = 0
+
+
+def send_to(context, name, shared):
+    """Send a chat with a shared prompt part to a gateway, and return its answer."""
+    context.sent += 1
+    running, item = context.gateway, context.gateway.gateways[name]
+    headers = [
+        ("Host", fleet.HOST),
+        ("X-Api-Key", fleet.KEY),
+        ("X-Berylrock-Attempt-Id", f"{context.sent:016x}"),
+        ("X-Berylrock-Model", "*"),
+        ("X-Berylrock-Token-Usage", "100,20"),
+        ("X-Berylrock-Prefix-Hash", f"aa:50,{shared}:30,{context.sent:06x}:20"),
+        ("Content-Length", "6"),
+    ]
+    body = f"{context.sent:06x}".encode()
+    request = fleet.exchange((item.host, item.port), "POST", "/chat/a", headers, body)
+    return running.thread.run(request)
+
+
+def crashes(context):
+    """Return how many requests have crashed an engine."""
+    runs = context.gateway.runs("models")
+    parts = [run.headers["x-berylrock-prefix-hash"].split(",")[1] for run in runs]
+    return sum(part.startswith(engine.CRASHING_PART) for part in parts)
+
+
+@when("{count:d} chats with a prompt part that crashes engines are sent to the gateways in turn")
+def step_send_in_turn(context, count):
+    """Send one to each gateway and a sound one after it, and wait until all engines are back."""
+    for number in range(count):
+        send_to(context, context.names[number % len(context.names)], engine.CRASHING_PART)
+        send_to(context, context.names[(number + 1) % len(context.names)], "bb")
+        context.gateway.wait(lambda: all_listen(context), "all engines are back")
+
+
+def all_listen(context):
+    """Return whether all engines of the models accept connections."""
+    return all(item.server.is_serving() for item in scenario.model_engines(context))
+
+
+@then("engines have crashed at most {count:d} times")
+def step_at_most(context, count):
+    """Count the requests that crashed one: two requests suffice, with three attempts each."""
+    assert 0 < crashes(context) <= count, crashes(context)
+
+
+@when("every gateway has heard of the part")
+def step_heard(context):
+    """Wait until each log names the part."""
+    for item in context.gateway.gateways.values():
+        context.gateway.wait(
+            lambda item=item: f"prompt_part_blamed part={engine.CRASHING_PART}" in item.log(),
+            f"{item.name} knows the part",
+        )
+
+
+def check_refused(context, names, count):
+    """Send chats with the part to some gateways, and check that none of them runs."""
+    before = crashes(context)
+    answers = [
+        send_to(context, names[number % len(names)], engine.CRASHING_PART)
+        for number in range(count)
+    ]
+    assert {answer.status for answer in answers} == {503}, answers
+    assert crashes(context) == before
+
+
+@then("{count:d} more of them are refused by the gateways, and none runs")
+def step_refused_by_all(context, count):
+    """Send them to the gateways in turn."""
+    check_refused(context, context.names, count)
+
+
+@when("a gateway is killed and started again")
+def step_kill(context):
+    """Kill the first gateway once the store has the record of another one that names the part."""
+    running, item = context.gateway, context.gateway.gateways[context.names[0]]
+    running.wait(lambda: stored_blame(running, context.names[1:]), "a record names the part")
+    item.stop()
+    item.start()
+    running.wait_ready()
+
+
+def stored_blame(running, names):
+    """Return whether a record of these gateways in the store names the part."""
+    records = [running.store.objects.get(("gateways", name)) for name in names]
+    return any(engine.CRASHING_PART in str(record) for record in records)
+
+
+@then("{count:d} more of them are refused by that gateway, and none runs")
+def step_refused_after_restart(context, count):
+    """Send them to the gateway that was killed."""
+    check_refused(context, context.names[:1], count)
+
+
+@then("sound chats are answered by every gateway")
+def step_sound_answered(context):
+    """Send chats to each until one is answered; one that was not run for seconds first refuses."""
+    for name in context.names:
+        context.gateway.wait(
+            lambda name=name: send_to(context, name, "bb").status == 200, f"{name} answers"
+        )
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -84,6 +84,7 @@
       pause_s: Seconds from the next request for which the engine refuses all requests and asks for
         none until then; 0 for no pause.
       confidence: Value of the confidence header by model; models without an entry send none.
+      restart_delay_s: Time for which the engine does not listen after a crash, in seconds.
       event_count: Number of events in a complete stream.
       event_interval_s: Pause after each event, in seconds.
       response_delay_s: Time from the whole request to its response, in seconds.
@@ -101,6 +102,7 @@
         self._paused_until = 0.0
         self._refused_id = ""
         self.confidence = {}
+        self.restart_delay_s = RESTART_DELAY_S
         self.event_count = 6
         self.event_interval_s = 0.005
         self.response_delay_s = 0.0
@@ -197,7 +199,7 @@
         self.server.close()
         conn.abort()
         host, port = self._address
-        await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.sleep(self.restart_delay_s)
         self.server = await asyncio.start_server(self._serve, host, port)
 
     async def _run(self, conn, writer, run, fault):
