Check for crashing requests in a function of its own

The quarantine of the request and the blame of a prompt part are one step now, with the same order and answers as before.

--- a/berylrock/daemons/gateway/admitting.py
+++ b/berylrock/daemons/gateway/admitting.py
@@ -46,6 +46,23 @@
     return age_s > ctx.cfg.bounds.revoke_s - FRESHNESS_MARGIN_S
 
 
+def _check_crashes(
+    ctx: context.Context, head: routing.RequestHead, fingerprint: str
+) -> str | Refused:
+    """Refuse a request that crashes engines, by itself or by a part of its prompt.
+
+    Returns:
+      The blamed part of its prompt that the request may try again, mostly empty; or the refusal.
+    """
+    if ctx.strikes.is_quarantined(fingerprint):
+        return Refused(503, "crashes_engines", CRASH_RETRY_AFTER_S)
+    part, may_try = ctx.refused_part(head)
+    if part and not may_try:
+        return Refused(503, "prompt_part_crashes_engines", CRASH_RETRY_AFTER_S)
+    ctx.blame.record_sent(head.shared_parts)
+    return part
+
+
 def admit(
     ctx: context.Context, head: routing.RequestHead, body: bytes, received_at: float
 ) -> routing.Request | Refused:
@@ -76,12 +93,9 @@
         return Refused(503, "no_service", RETRY_AFTER_S)
     name = organisation.name if organisation is not None else ""
     fingerprint = _fingerprint(head, name, body)
-    if ctx.strikes.is_quarantined(fingerprint):
-        return Refused(503, "crashes_engines", CRASH_RETRY_AFTER_S)
-    part, may_try = ctx.refused_part(head)
-    if part and not may_try:
-        return Refused(503, "prompt_part_crashes_engines", CRASH_RETRY_AFTER_S)
-    ctx.blame.record_sent(head.shared_parts)
+    tried_part = _check_crashes(ctx, head, fingerprint)
+    if isinstance(tried_part, Refused):
+        return tried_part
     timeout_s = min(route.timeout_s, head.deadline_s or route.timeout_s)
     if timeout_s <= 0.0:
         return Refused(503, "no_time_left")
@@ -95,5 +109,5 @@
         expires_at=received_at + timeout_s - EXPIRY_MARGIN_S,
         fingerprint=fingerprint,
         config_version=table.config.version,
-        tried_part=part,
+        tried_part=tried_part,
     )
