Keep datagrams between gateways within their size, whatever there is to report

What could be seen: a gateway with requests on hundreds of engines, beside a rollout and crashes, sent datagrams of several pieces; one lost piece loses all of it, vetoes and blamed prompt parts included.

Change: `gossipmessage.shrink` shortens load reports, crashes and results by route until the message fits; vetoes, decisions on prompt parts and leaving engines stay. Crashes are sent newest first.

--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -13,13 +13,12 @@
 
 import asyncio
 import secrets
-from typing import NamedTuple
 
 import msgspec
 
 from berylrock.core import errors, routing
-from berylrock.daemons.gateway import context
-from berylrock.ops import budget, crashblame, evidence, freshness, loadview, views
+from berylrock.daemons.gateway import context, gossipmessage
+from berylrock.ops import budget, evidence, freshness, loadview, views
 
 __all__ = ["Gossip"]
 
@@ -30,65 +29,12 @@
 # Versions and routes whose results a datagram carries.
 BUSIEST_RESULTS, OTHER_RESULTS = 8, 4
 MAX_BLAMED_PARTS, MAX_LEAVING = 8, 16
-MAX_DATAGRAM_BYTES = 1400
 MS_PER_S = 1000.0
-NO_TIMESTAMP = views.SendTimestamp(0, 0)
 PROCESS_BITS = 63
 # Datagrams of unknown senders are logged once in this time.
 UNKNOWN_LOG_INTERVAL_S = 10.0
 
 
-class ReportedCrash(NamedTuple):
-    """A request that an engine was running when it crashed; the order of fields is the format.
-
-    Attributes:
-      engine: The engine's id.
-      request: The first digits of the request's fingerprint.
-      parts: Prompt parts that may be to blame.
-      age_ms: Milliseconds since the crash.
-      sent_ms: Milliseconds since the request was sent.
-    """
-
-    engine: str
-    request: str
-    parts: tuple[str, ...]
-    age_ms: int
-    sent_ms: int
-
-
-class GossipMessage(msgspec.Struct, array_like=True):
-    """State of one gateway, sent to the others. The order of the fields is the wire format.
-
-    Attributes:
-      gateway: Name of the sender.
-      loads: Engine id, running requests, their tokens, and milliseconds since the engine was last
-        heard, for each engine with running requests.
-      spent: Service, requests and retries in the window of the retry budget.
-      results: Service, version and fields of the evidence, as earlier releases send it.
-      vetoes: Service and version of the versions that were found bad.
-      mark: When this message was sent.
-      repeated: The last ``mark`` that the sender got from the receiver.
-      words: Digest and age of the sender's view of each watched kind, in order of the kinds' names.
-      crashes: What engines were running when they crashed.
-      blamed_parts: Decisions on prompt parts that may crash engines.
-      leaving: Ids of engines that have told the sender that they leave.
-      route_results: Service, version, route and fields of the evidence, for rollouts in progress.
-    """
-
-    gateway: str
-    loads: list[tuple[str, int, int, int]]
-    spent: list[tuple[str, int, int]]
-    results: list[tuple[str, str, tuple[int, ...]]] = []
-    vetoes: list[tuple[str, str]] = []
-    mark: views.SendTimestamp = NO_TIMESTAMP
-    repeated: views.SendTimestamp = NO_TIMESTAMP
-    words: list[views.ViewReport] = []
-    route_results: list[tuple[str, str, str, tuple[int, ...]]] = []
-    crashes: list[ReportedCrash] = []
-    blamed_parts: list[routing.BlamedPart] = []
-    leaving: list[str] = []
-
-
 class Gossip(asyncio.DatagramProtocol):
     """Sends and receives gossip messages."""
 
@@ -117,7 +63,7 @@
         and dropped.
         """
         try:
-            message = msgspec.msgpack.decode(data, type=GossipMessage)
+            message = msgspec.msgpack.decode(data, type=gossipmessage.GossipMessage)
         except msgspec.MsgspecError:
             self._ctx.meter.count("gossip_unreadable")
             return
@@ -148,7 +94,7 @@
             self._unknown_logged_at = now
             self._ctx.log.write("gossip_unknown_sender", gateway=gateway, address=address)
 
-    def _record_evidence(self, message: GossipMessage) -> None:
+    def _record_evidence(self, message: gossipmessage.GossipMessage) -> None:
         """Record the results and vetoes of versions that the other gateway reports."""
         found = {
             evidence.ResultKey(service, version, ""): evidence.decode_counts(counts)
@@ -167,15 +113,17 @@
                     "version_vetoed", service=key.service, target=key.version, by=message.gateway
                 )
 
-    def _record_crashes(self, message: GossipMessage) -> None:
+    def _record_crashes(self, message: gossipmessage.GossipMessage) -> None:
         """Record what engines ran when they crashed, and adopt decisions on prompt parts."""
         now = asyncio.get_running_loop().time()
-        self._ctx.blame.record_peer([_decode_crash(item, now) for item in message.crashes])
+        self._ctx.blame.record_peer(
+            [gossipmessage.decode_crash(item, now) for item in message.crashes]
+        )
         for decision in message.blamed_parts:
             self._ctx.adopt_blame(decision, message.gateway)
         self._ctx.decide_blame()
 
-    def _record_views(self, message: GossipMessage, sent_at: float) -> None:
+    def _record_views(self, message: gossipmessage.GossipMessage, sent_at: float) -> None:
         """Record how fresh the other gateway's view of the store is.
 
         Args:
@@ -199,15 +147,13 @@
         if self._transport is None or not peers:
             return
         message = self._make_message()
-        if len(msgspec.msgpack.encode(message)) > MAX_DATAGRAM_BYTES:
-            message.loads.sort(key=lambda item: -item[2])
-            del message.loads[len(message.loads) // 2 :]
+        gossipmessage.shrink(message)
         for peer in peers:
-            message.repeated = self._peer_timestamps.get(peer.name, NO_TIMESTAMP)
+            message.repeated = self._peer_timestamps.get(peer.name, gossipmessage.NO_TIMESTAMP)
             data = msgspec.msgpack.encode(message)
             self._transport.sendto(data, (peer.address, self._ctx.cfg.peer_port))
 
-    def _make_message(self) -> GossipMessage:
+    def _make_message(self) -> gossipmessage.GossipMessage:
         """Return the message to send; its ``repeated`` differs by receiver and is set later."""
         ctx = self._ctx
         now = asyncio.get_running_loop().time()
@@ -228,7 +174,7 @@
         vetoes = ctx.evidence.vetoes | {(item.service, item.target) for item in reverted}
         clock = freshness.boottime_clock()
         words = [ctx.views[kind].make_report(clock) for kind in sorted(ctx.views)]
-        return GossipMessage(
+        return gossipmessage.GossipMessage(
             ctx.cfg.name,
             loads,
             spent,
@@ -236,7 +182,9 @@
             mark=self._timestamp(),
             words=words,
             route_results=results,
-            crashes=[_encode_crash(item, now) for item in ctx.blame.reports()],
+            crashes=[
+                gossipmessage.encode_crash(item, now) for item in reversed(ctx.blame.reports())
+            ],
             blamed_parts=ctx.blame.decisions()[-MAX_BLAMED_PARTS:],
             leaving=ctx.engines.leaving_ids()[-MAX_LEAVING:],
         )
@@ -268,13 +216,3 @@
         """Stop listening."""
         if self._transport is not None:
             self._transport.close()
-
-
-def _encode_crash(report: crashblame.CrashReport, now: float) -> ReportedCrash:
-    age_ms, sent_ms = int((now - report.at) * MS_PER_S), int((now - report.sent_at) * MS_PER_S)
-    return ReportedCrash(report.engine, report.request, report.parts, age_ms, sent_ms)
-
-
-def _decode_crash(item: ReportedCrash, now: float) -> crashblame.CrashReport:
-    at, sent_at = now - item.age_ms / MS_PER_S, now - item.sent_ms / MS_PER_S
-    return crashblame.CrashReport(item.engine, item.request, item.parts, at, sent_at)
--- /dev/null
+++ b/berylrock/daemons/gateway/gossipmessage.py
@@ -0,0 +1,119 @@
+"""Format of the datagrams between gateways, and how one is made to fit its largest size.
+
+Scenario: a gateway of a large fleet has requests on a hundred engines while a rollout is under way
+and engines crash. All of that does not fit a datagram. What decides on versions and crashing
+requests is small and stays; of the load reports, the engines with the most work stay.
+"""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from berylrock.core import routing
+from berylrock.ops import crashblame, views
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "NO_TIMESTAMP",
+    "GossipMessage",
+    "ReportedCrash",
+    "decode_crash",
+    "encode_crash",
+    "shrink",
+]
+
+# A datagram that fits the usual link is not split on its way.
+MAX_DATAGRAM_BYTES = 1400
+FEW_LOADS, FEW_CRASHES, FEW_RESULTS = 12, 2, 4
+MS_PER_S = 1000.0
+NO_TIMESTAMP = views.SendTimestamp(0, 0)
+
+
+class ReportedCrash(NamedTuple):
+    """A request that an engine was running when it crashed; the order of fields is the format.
+
+    Attributes:
+      engine: The engine's id.
+      request: The first digits of the request's fingerprint.
+      parts: Prompt parts that may be to blame.
+      age_ms: Milliseconds since the crash.
+      sent_ms: Milliseconds since the request was sent.
+    """
+
+    engine: str
+    request: str
+    parts: tuple[str, ...]
+    age_ms: int
+    sent_ms: int
+
+
+class GossipMessage(msgspec.Struct, array_like=True):
+    """State of one gateway, sent to the others. The order of the fields is the wire format.
+
+    Attributes:
+      gateway: Name of the sender.
+      loads: Engine id, running requests, their tokens, and milliseconds since the engine was last
+        heard, for each engine with running requests.
+      spent: Service, requests and retries in the window of the retry budget.
+      results: Service, version and fields of the evidence, as earlier releases send it.
+      vetoes: Service and version of the versions that were found bad.
+      mark: When this message was sent.
+      repeated: The last ``mark`` that the sender got from the receiver.
+      words: Digest and age of the sender's view of each watched kind, in order of the kinds' names.
+      route_results: Service, version, route and fields of the evidence, for rollouts in progress.
+      crashes: What engines were running when they crashed, the newest first.
+      blamed_parts: Decisions on prompt parts that may crash engines.
+      leaving: Ids of engines that have told the sender that they leave.
+    """
+
+    gateway: str
+    loads: list[tuple[str, int, int, int]]
+    spent: list[tuple[str, int, int]]
+    results: list[tuple[str, str, tuple[int, ...]]] = []
+    vetoes: list[tuple[str, str]] = []
+    mark: views.SendTimestamp = NO_TIMESTAMP
+    repeated: views.SendTimestamp = NO_TIMESTAMP
+    words: list[views.ViewReport] = []
+    route_results: list[tuple[str, str, str, tuple[int, ...]]] = []
+    crashes: list[ReportedCrash] = []
+    blamed_parts: list[routing.BlamedPart] = []
+    leaving: list[str] = []
+
+
+def shrink(message: GossipMessage) -> None:
+    """Remove what matters least until a message fits a datagram.
+
+    Of the load reports those of the engines with the most work stay, of the crashes the newest, and
+    of the routes those with the most answers; a few of each stay as long as possible.
+
+    Args:
+      message: The message to send; its lists are shortened in place.
+    """
+    if _fits(message):
+        return
+    message.loads.sort(key=lambda load: -load[2])
+    lists: tuple[tuple[list[Any], int], ...] = (
+        (message.loads, FEW_LOADS),
+        (message.crashes, FEW_CRASHES),
+        (message.route_results, FEW_RESULTS),
+        (message.loads, 0),
+    )
+    for items, kept in lists:
+        while len(items) > kept and not _fits(message):
+            del items[max(kept, len(items) // 2) :]
+
+
+def _fits(message: GossipMessage) -> bool:
+    return len(msgspec.msgpack.encode(message)) <= MAX_DATAGRAM_BYTES
+
+
+def encode_crash(report: crashblame.CrashReport, now: float) -> ReportedCrash:
+    """Encode a report of a crash; its times become ages, as clocks differ between VMs."""
+    age_ms, sent_ms = int((now - report.at) * MS_PER_S), int((now - report.sent_at) * MS_PER_S)
+    return ReportedCrash(report.engine, report.request, report.parts, age_ms, sent_ms)
+
+
+def decode_crash(item: ReportedCrash, now: float) -> crashblame.CrashReport:
+    """Decode the output of ``encode_crash``."""
+    at, sent_at = now - item.age_ms / MS_PER_S, now - item.sent_ms / MS_PER_S
+    return crashblame.CrashReport(item.engine, item.request, item.parts, at, sent_at)
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -225,6 +225,12 @@
     And a request that fails twice on a version counts once, and a later success counts as well
     And each route has its own results, and a message carries those with the most answers
 
+  # Guards against datagrams that are split on their way, and then lost with any of their pieces.
+  Scenario: A gateway of a large fleet has more to report than fits a datagram
+    Given a message on 300 engines, 12 routes of a rollout and 10 crashes
+    Then it fits a datagram once it is shrunk, and still names the busiest engines
+    And a message on 3 engines is not changed
+
   Scenario: One gateway queries the store and the others rely on its reports
     Then a view that equals another gateway's takes over the oldest age which that may have
     And timestamps of an earlier process or an earlier boot of the VM are ignored
--- a/features/steps/gateway_gossip_steps.py
+++ b/features/steps/gateway_gossip_steps.py
@@ -8,7 +8,8 @@
 from behave import given, then, when
 from support.platform import fleet, peergateway, soakfleet
 
-from berylrock.daemons.gateway import gossip
+from berylrock.core import routing
+from berylrock.daemons.gateway import gossipmessage
 from berylrock.ops import evidence, rollouts, views
 
 KEY = evidence.VersionKey("models", "v2")
@@ -45,7 +46,7 @@
 def make_report(name, service, version):
     """Return a message that a version is bad, and that the gateway runs three requests."""
     loads = [("models-0", 3, 0, 0)]
-    return gossip.GossipMessage(name, loads, [], [], [(service, version)])
+    return gossipmessage.GossipMessage(name, loads, [], [], [(service, version)])
 
 
 @when('another gateway reports that version "{version}" of "{service}" is bad')
@@ -74,7 +75,7 @@
 def step_without_echo(context, version, service):
     """Send the report from the stand-in's address, as who forges the address could."""
     foreign = context.mark._replace(process=context.mark.process ^ 1)
-    for repeated in (gossip.NO_TIMESTAMP, foreign):
+    for repeated in (gossipmessage.NO_TIMESTAMP, foreign):
         context.peer.send(make_report(context.peer.name, service, version), repeated)
 
 
@@ -257,3 +258,47 @@
     for _ in range(30):
         assert running.thread.run(running.send_read_async(item)).status == 200
     assert len(running.runs("plain")) - len(running.engines[name].runs) == before
+
+
+def make_message(engines, routes=0, crashes=0):
+    """Return a message on so many engines, routes of a rollout and crashes."""
+    return gossipmessage.GossipMessage(
+        "edge-cluj-a-1",
+        [(f"i-{number:010x}", 3, 1000 * (number % 97), 250) for number in range(engines)],
+        [("models", 4000, 300), ("plain", 900, 20)],
+        vetoes=[("models", "v2")],
+        route_results=[
+            ("models", "v3", f"route-{n}", (99, 9, 9, 99, 90, 80)) for n in range(routes)
+        ],
+        crashes=[
+            gossipmessage.ReportedCrash(f"i-{n:010x}", "0123abcd", ("5c1e07a2",) * 4, n, 3000)
+            for n in range(crashes)
+        ],
+        blamed_parts=[routing.BlamedPart(f"{n:08x}", True, 1_765_000_000_000) for n in range(8)],
+        leaving=[f"i-{number:010x}" for number in range(16)],
+    )
+
+
+@given("a message on {engines:d} engines, {routes:d} routes of a rollout and {crashes:d} crashes")
+def step_large_message(context, engines, routes, crashes):
+    """Make the message of a gateway that has much to report."""
+    context.message = make_message(engines, routes, crashes)
+
+
+@then("it fits a datagram once it is shrunk, and still names the busiest engines")
+def step_shrunk(context):
+    """Check the size, and that nothing is missing which decides."""
+    gossipmessage.shrink(context.message)
+    message = context.message
+    assert len(msgspec.msgpack.encode(message)) <= gossipmessage.MAX_DATAGRAM_BYTES
+    assert message.vetoes and len(message.blamed_parts) == 8 and len(message.leaving) == 16
+    assert message.loads and message.crashes[0].age_ms == 0 and message.route_results
+    assert all(load[2] >= 90_000 for load in message.loads), message.loads
+
+
+@then("a message on {engines:d} engines is not changed")
+def step_not_shrunk(context, engines):
+    """Check a message that fits."""
+    message = make_message(engines, 1, 1)
+    gossipmessage.shrink(message)
+    assert message == make_message(engines, 1, 1)
--- a/features/support/platform/peergateway.py
+++ b/features/support/platform/peergateway.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from berylrock.core import routing
-from berylrock.daemons.gateway import gossip
+from berylrock.daemons.gateway import gossipmessage
 from berylrock.platform import decoding
 
 from . import gatewayprocess
@@ -41,9 +41,9 @@
     def receive_mark(self):
         """Wait for a datagram of the gateway under test, and return its timestamp."""
         data = self._sock.recv(MAX_BYTES)
-        return msgspec.msgpack.decode(data, type=gossip.GossipMessage).mark
+        return msgspec.msgpack.decode(data, type=gossipmessage.GossipMessage).mark
 
-    def send(self, message, repeated=gossip.NO_TIMESTAMP):
+    def send(self, message, repeated=gossipmessage.NO_TIMESTAMP):
         """Send a message that echoes a timestamp."""
         message.repeated = repeated
         self._sock.sendto(msgspec.msgpack.encode(message), self._target)
