Judge the streams of a version on trial while they run, and on each route

A version of a model service that answers half of its requests eight times slower, or that fails half of one kind of them, was completed, after which nobody can roll it back.

Cause: the pace of a stream counted at its end, and the slow ones end eight times later than the others, so that before the rollout's time is over mostly quick ones had counted. And the wait for a verdict asked for the pace of streams only, not for errors on their routes.

Evidence: the simulated rollouts assumed that the result of a stream is known at once.

Change: the pace counts after six events. Beside "quick" there is "crawling", several times slower than usual, which hardly any load does to a sound stream. A rollout waits for the errors of each route of streams as for those of plain services. Reports of other gateways are compared by the sum of all counts.

--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -21,6 +21,8 @@
 ESCALATION_RESERVE = 0.2
 DEFAULT_EVENT_GAP_S = 2.0
 MIN_TIMED_EVENTS = 4
+# Events after which the pace of a stream is known. A slow version's streams end too late for that.
+PACE_EVENTS = 6
 # An engine that crashes as it begins to write may have sent one event before.
 BEGUN_EVENTS = 2
 
@@ -293,10 +295,20 @@
         if self._event_count == BEGUN_EVENTS:
             current.begun = True
             self.ctx.record_begun(self.req)
+        if self._event_count == PACE_EVENTS:
+            self._record_pace(current, self._measure_timing(current))
 
-    def _measure_timing(self, opened: attempt.OpenedResponse) -> baselines.Timing:
+    def _record_pace(self, current: attempt.Attempt, timing: baselines.Timing) -> None:
+        """Add to the evidence about a version whether a stream is quick, or crawls."""
+        usual, route = self.ctx.baselines, self.req.route.name
+        quick = usual.is_quick(route, current.model, timing)
+        crawling = usual.is_crawling(route, current.model, timing)
+        result = rollouts.Evidence(paced=1, quick=int(quick), crawling=int(crawling))
+        self._add_evidence(current.state.engine.version, result)
+
+    def _measure_timing(self, current: attempt.Attempt) -> baselines.Timing:
         """Return the time to the first event and the mean gap; 0 as gap if events are too few."""
-        first_part_s = (self._first_event_at or self.now) - opened.attempt.sent_at
+        first_part_s = (self._first_event_at or self.now) - current.sent_at
         event_gap_s = 0.0
         if self._event_count >= MIN_TIMED_EVENTS:
             event_gap_s = (self._last_event_at - self._first_event_at) / (self._event_count - 1)
@@ -304,7 +316,7 @@
 
     def _finish_attempt(self, opened: attempt.OpenedResponse, complete: bool) -> None:
         """Record the result of an attempt, and release or close its connection."""
-        timing = self._measure_timing(opened)
+        timing = self._measure_timing(opened.attempt)
         state, model = opened.attempt.state, opened.attempt.model
         plan = self.ctx.plan_for(self.req.service)
         on_trial = plan.trial is not None and state.engine.version == plan.trial
@@ -318,10 +330,10 @@
             self.ctx.latency_estimator.record_event_count(self.req.route.name, self._event_count)
             state.health.record_response(timing.first_part_s)
             paced = timing.event_gap_s > 0.0
-            quick = paced and self.ctx.baselines.is_quick(self.req.route.name, model, timing)
-            # Fields: answers, errors, slow, timed, paced, quick. Without a measured time between
-            # events, a stream counts as timed only if it was slow.
-            result = rollouts.Evidence(1, 0, int(slow), int(slow or paced), int(paced), int(quick))
+            if paced and self._event_count < PACE_EVENTS:
+                self._record_pace(opened.attempt, timing)
+            # Without a measured time between events, a stream counts as timed only if it was slow.
+            result = rollouts.Evidence(1, slow=int(slow), timed=int(slow or paced))
             self._add_evidence(state.engine.version, result)
             opened.attempt.end_complete(opened.head)
         else:
--- a/berylrock/ops/baselines.py
+++ b/berylrock/ops/baselines.py
@@ -14,6 +14,8 @@
 # load, because the requests of a batch share each decoding step.
 SLOW_EVENT_GAP_RATIO = 2.1
 QUICK_RATIO = 2.0
+# No load makes a stream this many times slower than the usual one of the same moment.
+CRAWLING_RATIO = 3.5
 # The shortest time between events grows by this factor with each sample, so that old minima expire.
 MINIMUM_GROWTH = 1.003
 # Shorter times are never slow. A plain service may answer within some ten milliseconds.
@@ -91,6 +93,23 @@
             return True
         return timing.event_gap_s <= QUICK_RATIO * baseline.min_event_gap_s
 
+    def is_crawling(self, route: str, model: str, timing: Timing) -> bool:
+        """Tell whether a stream is several times slower than usual.
+
+        Args:
+          route: The route's name.
+          model: The model's name.
+          timing: The stream's times.
+
+        Returns:
+          Whether it is; False while there are too few samples.
+        """
+        baseline = self._baselines.get((route, model))
+        if baseline is None or baseline.samples < MIN_SAMPLES or baseline.event_gap_s <= 0.0:
+            return False
+        limit_s = max(MIN_SLOW_EVENT_GAP_S, CRAWLING_RATIO * baseline.event_gap_s)
+        return timing.event_gap_s > limit_s
+
     def is_slow(self, route: str, model: str, timing: Timing) -> bool:
         """Tell whether a response took several times as long as usual.
 
--- a/berylrock/ops/evidence.py
+++ b/berylrock/ops/evidence.py
@@ -164,7 +164,7 @@
         """Record the total results that another gateway reports."""
         known = self._others.setdefault(gateway, {})
         for key, evidence in found.items():
-            if evidence.answers >= known.get(key, rollouts.Evidence()).answers:
+            if sum(evidence) >= sum(known.get(key, rollouts.Evidence())):
                 known[key] = evidence
 
     def total(self, version: VersionKey) -> rollouts.Evidence:
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -86,6 +86,7 @@
         show that a stream is slow, but not that it is not.
       paced: Streams with enough events to measure the time between events.
       quick: Paced streams about as fast as the fastest recent one of the stable version.
+      crawling: Paced streams several times slower than usual.
     """
 
     answers: int = 0
@@ -94,6 +95,7 @@
     timed: int = 0
     paced: int = 0
     quick: int = 0
+    crawling: int = 0
 
     def plus(self, other: "Evidence") -> "Evidence":
         """Return the sum of both counts."""
@@ -104,6 +106,7 @@
             self.timed + other.timed,
             self.paced + other.paced,
             self.quick + other.quick,
+            self.crawling + other.crawling,
         )
 
     @property
@@ -112,8 +115,8 @@
         return f"{self.errors}+{self.slow}of{self.timed}/{self.answers}"
 
     def __str__(self) -> str:
-        """Return ``ERRORS+SLOWofTIMED/ANSWERS quick QUICKofPACED``, as in 5+3of7/20 quick 0of4."""
-        return f"{self.brief} quick {self.quick}of{self.paced}"
+        """Return the counts, as in 5+3of7/20 quick 0of4 crawling 2."""
+        return f"{self.brief} quick {self.quick}of{self.paced} crawling {self.crawling}"
 
 
 class Plan(NamedTuple):
--- a/berylrock/ops/sequentialtest.py
+++ b/berylrock/ops/sequentialtest.py
@@ -10,8 +10,6 @@
 
 __all__ = ["FAULT_SCORE", "MAX_USUAL_SHARE", "MORE_SAMPLES", "Counts", "SequentialTest"]
 
-# A bad version makes at least this share of the otherwise good responses bad.
-FAULT_SHARE = 0.4
 # On a route on which most responses are bad, a fault does not show.
 MAX_USUAL_SHARE = 0.6
 # Logarithms of likelihood ratios: the version counts as bad from the first one on; the second one
@@ -46,10 +44,17 @@
       score: Logarithm of the likelihood ratio of a bad version to a good one, within its bounds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fault_share: float) -> None:
+        """Create a test without responses.
+
+        Args:
+          fault_share: Share of the otherwise good responses that a bad version makes bad. The
+            smaller it is, the more responses are needed.
+        """
         self.bad = 0
         self.score = 0.0
         self._good = 0
+        self._fault_share_of_good = fault_share
         self._usual_share = 0.0
         self._steps: list[_Step] = []
 
@@ -94,7 +99,7 @@
 
     @property
     def _fault_share(self) -> float:
-        return self._usual_share + FAULT_SHARE * (1.0 - self._usual_share)
+        return self._usual_share + self._fault_share_of_good * (1.0 - self._usual_share)
 
     @property
     def _good_weight(self) -> float:
--- a/berylrock/ops/trials.py
+++ b/berylrock/ops/trials.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 from berylrock.ops import rollouts, sequentialtest
 
@@ -17,13 +18,28 @@
 PRIOR_BAD, PRIOR_RESPONSES = 1.0, 2.0
 MIN_USUAL_RESPONSES = 10
 MIN_USUAL_ERRORS, MIN_USUAL_SLOW = 0.01, 0.03
+# A bad version makes at least these shares of the otherwise good responses bad.
+PLAIN_FAULT_SHARE, STREAM_FAULT_SHARE = 0.4, 0.25
 # An engine that crashes fails all that it was running, which is more for streams.
 MIN_BAD_PLAIN, MIN_BAD_STREAMS = 3, 5
 MIN_SLOW_PLAIN = 4
-# Highest scores of a route at which all its requests may move to the version, and at which the
-# rollout may complete, after which nobody can roll it back; of plain services and of streams.
-PLAIN_MOVING_SCORE, PLAIN_COMPLETION_SCORE = -0.5, -2.0
-STREAM_MOVING_SCORE, STREAM_COMPLETION_SCORE = 0.0, -2.5
+
+
+class _Limits(NamedTuple):
+    """Highest scores of a test that let a rollout go on.
+
+    Attributes:
+      moving: At this score all requests may move to the version.
+      completion: At this one the rollout may complete, after which nobody can roll it back.
+    """
+
+    moving: float
+    completion: float
+
+
+# Limits for the routes of a plain service, for the routes of streams, and for the pace of streams.
+PLAIN_ROUTE = _Limits(-0.5, -2.0)
+STREAM_ROUTE, STREAM_PACE = _Limits(0.0, -1.0), _Limits(0.0, -2.5)
 # Routes with fewer responses of all versions are too rare to wait for.
 MIN_ROUTE_ANSWERS = 8
 # Responses to ask for before the usual share of bad responses is known.
@@ -36,6 +52,12 @@
     return sequentialtest.Counts(paced - sum(item.quick for item in found.values()), paced)
 
 
+def _count_crawling(found: dict[str, rollouts.Evidence]) -> sequentialtest.Counts:
+    """Count the streams whose pace was measured, and those among them that crawled."""
+    paced = sum(item.paced for item in found.values())
+    return sequentialtest.Counts(sum(item.crawling for item in found.values()), paced)
+
+
 class TrialJudge:
     """Judges one version on trial; each gateway judges the results of all gateways.
 
@@ -53,7 +75,9 @@
         self.streams = streams
         self._errors: dict[str, sequentialtest.SequentialTest] = {}
         self._slow: dict[str, sequentialtest.SequentialTest] = {}
-        self._pace = sequentialtest.SequentialTest()
+        self._fault_share = STREAM_FAULT_SHARE if streams else PLAIN_FAULT_SHARE
+        self._pace = sequentialtest.SequentialTest(self._fault_share)
+        self._crawling = sequentialtest.SequentialTest(self._fault_share)
         self._trial: dict[str, rollouts.Evidence] = {}
         self._stable: dict[str, rollouts.Evidence] = {}
         self._answers: dict[str, int] = {}
@@ -95,15 +119,19 @@
     def _update_pace(
         self, trial: dict[str, rollouts.Evidence], stable: dict[str, rollouts.Evidence]
     ) -> None:
-        """Count the streams that were not quick, on all routes; each has a pace of its own."""
-        usual = _count_not_quick(stable)
-        if usual.responses >= MIN_USUAL_RESPONSES:
-            share = (usual.bad + PRIOR_BAD) / (usual.responses + PRIOR_RESPONSES)
-            self._pace.update(_count_not_quick(trial), max(MIN_USUAL_SLOW, share))
-            self._paced = True
-
-    @staticmethod
+        """Count the streams that were not quick, and those that crawled, on all routes together.
+
+        Each route has a pace of its own, with which its streams were compared.
+        """
+        for test, count in ((self._pace, _count_not_quick), (self._crawling, _count_crawling)):
+            usual = count(stable)
+            if usual.responses >= MIN_USUAL_RESPONSES:
+                share = (usual.bad + PRIOR_BAD) / (usual.responses + PRIOR_RESPONSES)
+                test.update(count(trial), max(MIN_USUAL_SLOW, share))
+                self._paced = True
+
     def _update_test(
+        self,
         tests: dict[str, sequentialtest.SequentialTest],
         route: str,
         trial: sequentialtest.Counts,
@@ -113,7 +141,8 @@
         if usual.responses < MIN_USUAL_RESPONSES:
             return
         share = (usual.bad + PRIOR_BAD) / (usual.responses + PRIOR_RESPONSES)
-        tests.setdefault(route, sequentialtest.SequentialTest()).update(trial, max(smallest, share))
+        test = tests.setdefault(route, sequentialtest.SequentialTest(self._fault_share))
+        test.update(trial, max(smallest, share))
 
     def find_fault(self) -> str:
         """Return on which route the version is bad, for the log; empty if it is on none."""
@@ -125,34 +154,34 @@
             for route, test in tests.items():
                 if test.bad >= min_bad and test.score >= sequentialtest.FAULT_SCORE:
                     return f"{what} on {route}, score {test.score:.1f}"
-        if self._pace.bad >= MIN_BAD_STREAMS and self._pace.score >= sequentialtest.FAULT_SCORE:
-            return f"streams that are not quick, score {self._pace.score:.1f}"
+        for what, test in (("not quick", self._pace), ("crawling", self._crawling)):
+            if test.bad >= MIN_BAD_STREAMS and test.score >= sequentialtest.FAULT_SCORE:
+                return f"streams {what}, score {test.score:.1f}"
         return ""
 
     def _tests(self, route: str) -> list[sequentialtest.SequentialTest]:
         return [tests[route] for tests in (self._errors, self._slow) if route in tests]
 
-    def _is_trusted(self, route: str, highest: float) -> bool:
+    def _is_trusted(self, route: str, last: bool) -> bool:
+        """Tell whether a route lets the last stage end, or all requests move, if not ``last``."""
+        limits = STREAM_ROUTE if self.streams else PLAIN_ROUTE
+        highest = limits.completion if last else limits.moving
         return all(test.is_trusted(highest) for test in self._tests(route))
 
     def find_doubt(self, stage: int) -> str:
         """Return on which route too little is known to end a stage; empty if on none.
 
-        Streams get too few requests on trial to trust each route, so their pace decides.
-
         Args:
           stage: The rollout's stage, from 0.
         """
         last = stage == rollouts.LAST_STAGE
-        if self.streams:
-            highest = STREAM_COMPLETION_SCORE if last else STREAM_MOVING_SCORE
-            unknown = self._paced and not self._pace.is_trusted(highest)
-            return "not enough known of the pace of streams" if unknown else ""
-        highest = PLAIN_COMPLETION_SCORE if last else PLAIN_MOVING_SCORE
+        highest = STREAM_PACE.completion if last else STREAM_PACE.moving
+        if self._paced and not self._crawling.is_trusted(highest):
+            return "not enough known of the pace of streams"
         for route, answers in self._answers.items():
             if answers < MIN_ROUTE_ANSWERS or self._is_hopeless(route):
                 continue
-            if not self._is_trusted(route, highest):
+            if not self._is_trusted(route, last):
                 trial = self._trial.get(route, rollouts.Evidence())
                 return f"not enough known of {route}, {trial.brief}"
         return ""
@@ -176,7 +205,7 @@
                 continue
             wanted = max((test.samples() for test in self._tests(route)), default=FIRST_SAMPLES)
             lack = math.ceil(wanted * min(1.0, elapsed_share)) - answers
-            if elapsed_share >= 1.0 and not self._is_trusted(route, PLAIN_COMPLETION_SCORE):
+            if elapsed_share >= 1.0 and not self._is_trusted(route, last=True):
                 lack = max(lack, sequentialtest.MORE_SAMPLES)
             if lack > 0:
                 results[route] = lack
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -168,6 +168,23 @@
     Given 200 rollouts of models whose new version answers half of all requests slowly
     Then none is completed, and no new version receives more requests than allowed
 
+  # Guards against a slow version of a model service whose streams end after the rollout.
+  @failure.bad_version
+  Scenario: A model service's version that is slow now and then is rolled back
+    Given 200 rollouts of models whose new version answers 0.3 of all requests slowly
+    Then 95 in 100 at least are rolled back in time
+
+  # Guards against a fault of one kind of stream that the other kinds hide.
+  @failure.bad_version
+  Scenario Outline: A model service's version that fails <kind> requests is rolled back
+    Given 200 rollouts of models whose new version fails 0.5 of the <kind> requests
+    Then none is completed, and no new version receives more requests than allowed
+
+    Examples:
+      | kind    |
+      | dossier |
+      | label   |
+
   Scenario: A good version of a model service is completed
     Given 200 rollouts of models whose new version is good
     Then 95 in 100 at least are completed, and 75 in 100 before the deadline
@@ -260,6 +277,7 @@
 
   Scenario: Answers of a slow version are recognised as slow
     Then answers that take 8 times as long as usual are slow and those of twice the time are not
+    And a stream with 8 times the usual pauses crawls, and one with 3 times the pauses does not
     And no answer is slow before there are enough answers for a baseline
 
   @promise.answer
--- a/features/steps/gateway_trial_steps.py
+++ b/features/steps/gateway_trial_steps.py
@@ -34,6 +34,20 @@
     context.outcomes = rolloutsim.run_many(rolloutsim.StreamSimulation, fault, count)
 
 
+@given("{count:d} rollouts of models whose new version answers {share:g} of all requests slowly")
+def step_partly_slow_streams(context, count, share):
+    """Simulate a version of a model service that is slow now and then."""
+    fault = rolloutsim.Fault(tuple(rolloutsim.StreamSimulation.PER_S), share, 8.0)
+    context.outcomes = rolloutsim.run_many(rolloutsim.StreamSimulation, fault, count)
+
+
+@given("{count:d} rollouts of models whose new version fails {share:g} of the {kind} requests")
+def step_one_kind_of_streams_fails(context, count, share, kind):
+    """Simulate a fault on one route of a model service."""
+    fault = rolloutsim.Fault((kind,), share)
+    context.outcomes = rolloutsim.run_many(rolloutsim.StreamSimulation, fault, count)
+
+
 @given("{count:d} rollouts of models whose new version is good")
 def step_good_streams(context, count):
     """Simulate sound versions of a model service."""
@@ -57,6 +71,13 @@
     assert all(item.bad < rolloutsim.MAX_BAD_ANSWERS for item in context.outcomes)
 
 
+@then("{least:d} in 100 at least are rolled back in time")
+def step_most_rolled_back(context, least):
+    """Check the share of the rollouts whose version gets no request too late."""
+    found = [item for item in context.outcomes if item.state == "reverted" and not item.late]
+    assert len(found) * 100 >= least * len(context.outcomes), len(found)
+
+
 @then("{all_in:d} in 100 at least are completed, and {in_time:d} in 100 before the deadline")
 def step_most_completed(context, all_in, in_time):
     """Check the share of the rollouts that need no operator."""
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -253,6 +253,17 @@
     assert not usual.is_slow("other", "m", baselines.Timing(9.0, 9.0))
 
 
+@then("a stream with 8 times the usual pauses crawls, and one with 3 times the pauses does not")
+def step_crawling(context):
+    """Check the time between events; without a baseline no stream crawls."""
+    usual = baselines.LatencyBaselines()
+    for _ in range(20):
+        usual.record("r", "m", baselines.Timing(0.2, 0.02))
+    assert usual.is_crawling("r", "m", baselines.Timing(0.2, 0.16))
+    assert not usual.is_crawling("r", "m", baselines.Timing(0.2, 0.06))
+    assert not usual.is_crawling("other", "m", baselines.Timing(0.2, 0.16))
+
+
 @then("no answer is slow before there are enough answers for a baseline")
 def step_too_few_answers(context):
     """Check that two answers are not enough for a baseline."""
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -15,8 +15,8 @@
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
 BOUNDS = routing.Bounds(canary_share=CANARY_SHARE, canary_margin=CANARY_MARGIN)
 # Bound on a bad version: bad answers after which it gets no more requests, some seconds later.
-MAX_BAD_ANSWERS = 50
-# A rollout that is still running at its deadline is simulated for this much longer.
+MAX_BAD_ANSWERS, ROLLBACK_S = 50, 5.0
+# The simulation goes on for this long after the deadline.
 OVERTIME_S = 30.0
 
 
@@ -67,6 +67,7 @@
       exposed: Requests that the new version received before the deadline.
       requests: All requests before the deadline.
       bad: Bad answers of the new version.
+      late: Requests that it received too late after its last allowed bad answer.
     """
 
     state: str
@@ -74,6 +75,7 @@
     exposed: int
     requests: int
     bad: int
+    late: int
 
     @property
     def within_share(self):
@@ -98,7 +100,14 @@
         self._sampling = {}
         self._judge = trials.TrialJudge(self.STREAMS)
         self._stage_at = 0.0
-        self.exposed = self.requests = self.bad = 0
+        self.exposed = self.requests = 0
+        self._age_s = 0.0
+        self._bad_at, self._sent_at = [], []
+
+    @property
+    def bad(self):
+        """Bad answers of the new version."""
+        return len(self._bad_at)
 
     def run(self):
         """Run to the rollout's deadline, or longer while it has not ended."""
@@ -107,8 +116,9 @@
         self._results = {"v1": {}, "v2": {}}
         self.exposed = self.requests = 0
         deadline_s, age_s, in_time = self._rollout.duration_s, 0.0, False
-        while age_s < deadline_s or (self._running and age_s < deadline_s + OVERTIME_S):
+        while age_s < deadline_s + OVERTIME_S and self._rollout.state != "reverted":
             before = self.exposed, self.requests
+            self._age_s = age_s
             self.serve_step(age_s)
             if age_s >= deadline_s:
                 self.exposed, self.requests = before
@@ -116,7 +126,15 @@
                 self._decide(age_s)
                 in_time = not self._running and age_s < deadline_s
             age_s += STEP_S
-        return Outcome(self._rollout.state, in_time, self.exposed, self.requests, self.bad)
+        late = self._count_late()
+        return Outcome(self._rollout.state, in_time, self.exposed, self.requests, self.bad, late)
+
+    def _count_late(self):
+        """Count the requests of the new version that a bad one should not have received."""
+        if len(self._bad_at) < MAX_BAD_ANSWERS:
+            return 0
+        limit_s = sorted(self._bad_at)[MAX_BAD_ANSWERS - 1] + ROLLBACK_S
+        return sum(at > limit_s for at in self._sent_at)
 
     @property
     def _running(self):
@@ -132,6 +150,8 @@
         on_trial = self._rng.random() < max(self._share(), self._sampling.get(name, 0.0))
         self.requests += 1
         self.exposed += on_trial
+        if on_trial:
+            self._sent_at.append(self._age_s)
         return on_trial
 
     def _is_bad(self, name, on_trial, age_s):
@@ -139,9 +159,14 @@
         fault = self._fault
         affected = on_trial and name in fault.routes and age_s >= fault.after_s
         bad = affected and self._rng.random() < fault.share
-        self.bad += bad
+        if bad:
+            self._bad_at.append(age_s + self._bad_length_s(name))
         return bad
 
+    def _bad_length_s(self, name):
+        """Return how long a bad answer takes, in seconds."""
+        return 0.0
+
     def _record(self, name, on_trial, result):
         found = self._results["v2" if on_trial else "v1"]
         found[name] = found.get(name, rollouts.Evidence()).plus(result)
@@ -210,28 +235,49 @@
     """Rollout of a model service.
 
     Load pattern: 25 requests a second on three routes, of which two in five have enough events to
-    measure their pace; of those, load leaves 72 in 100 quick.
+    measure their pace; of those, load leaves 72 in 100 quick. The pace is known after the first
+    events, and the rest at the end.
     """
 
     STREAMS = True
+    PACE_SHARE = 0.2
+    LENGTH_S = {"dossier": 1.2, "label": 0.9, "summary": 0.1}
     PER_S = {"dossier": 4.5, "label": 8.5, "summary": 12.0}
     PACED = {"dossier": 0.85, "label": 0.6, "summary": 0.15}
-    QUICK_SHARE, SLOW_SHARE = 0.72, 0.12
+    QUICK_SHARE, SLOW_SHARE, CRAWLING_SHARE = 0.72, 0.12, 0.02
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._open = []
 
     def serve_step(self, age_s):
         """Serve the requests of one step of time."""
+        ended = [item for item in self._open if item[0] <= age_s]
+        self._open = [item for item in self._open if item[0] > age_s]
+        for _, name, on_trial, result in ended:
+            self._record(name, on_trial, result)
         for name, per_s in self.PER_S.items():
             for _ in range(int(per_s * STEP_S + self._rng.random())):
                 self._answer(name, age_s)
 
+    def _bad_length_s(self, name):
+        return self.LENGTH_S[name] * self._fault.slowdown
+
     def _answer(self, name, age_s):
         on_trial = self._is_on_trial(name)
         paced = self._rng.random() < self.PACED[name]
         bad = self._is_bad(name, on_trial, age_s)
+        if bad and not self._fault.slowdown:
+            self._record(name, on_trial, rollouts.Evidence(1, 1))
+            return
         quick = paced and not bad and self._rng.random() < self.QUICK_SHARE
         slow = paced and not quick and (bad or self._rng.random() < self.SLOW_SHARE)
-        result = rollouts.Evidence(1, 0, int(slow), int(paced), int(paced), int(quick))
-        self._record(name, on_trial, result)
+        length_s = self._bad_length_s(name) if bad else self.LENGTH_S[name]
+        crawling = paced and self._rng.random() < (0.95 if bad else self.CRAWLING_SHARE)
+        pace = rollouts.Evidence(paced=int(paced), quick=int(quick), crawling=int(crawling))
+        result = rollouts.Evidence(1, slow=int(slow), timed=int(paced))
+        self._open.append((age_s + self.PACE_SHARE * length_s, name, on_trial, pace))
+        self._open.append((age_s + length_s, name, on_trial, result))
 
 
 def run_many(kind, fault, count, **options):
