Blame a prompt part that turns bad, and let it be tried again early

Cause: a part that was once sound was blamed after eight crashes and 20 s only, and each gateway that had had an answer on it within 20 s cleared it again for all. Evidence of the past outweighed later evidence.

First try, turned down: four crashes, and any later crash outweighs an answer.

Change: five crashes that no other part of a request explains blame a part; an answer of the last 20 s outweighs fewer than four crashes; a part that was sound is tried again after 8 s. A cleared part clears those before it, too.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -20,6 +20,7 @@
     mirrors,
     rollouts,
     routetable,
+    sessionversions,
     strikes,
     views,
 )
@@ -114,7 +115,7 @@
         self.evidence = evidence.EvidencePool()
         self.sampling_shares: dict[str, dict[str, float]] = {}
         self.peers: dict[str, tuple[routing.Peer, float]] = {}
-        self.sessions = rollouts.SessionVersions()
+        self.sessions = sessionversions.SessionVersions()
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
         self.budgets: dict[str, budget.WindowBudget] = {}
--- a/berylrock/daemons/gateway/gossipmessage.py
+++ b/berylrock/daemons/gateway/gossipmessage.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from berylrock.core import routing
-from berylrock.ops import crashblame, views
+from berylrock.ops import crashcases, views
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
@@ -107,13 +107,13 @@
     return len(msgspec.msgpack.encode(message)) <= MAX_DATAGRAM_BYTES
 
 
-def encode_crash(report: crashblame.CrashReport, now: float) -> ReportedCrash:
+def encode_crash(report: crashcases.CrashReport, now: float) -> ReportedCrash:
     """Encode a report of a crash; its times become ages, as clocks differ between VMs."""
     age_ms, sent_ms = int((now - report.at) * MS_PER_S), int((now - report.sent_at) * MS_PER_S)
     return ReportedCrash(report.engine, report.request, report.parts, age_ms, sent_ms)
 
 
-def decode_crash(item: ReportedCrash, now: float) -> crashblame.CrashReport:
+def decode_crash(item: ReportedCrash, now: float) -> crashcases.CrashReport:
     """Decode the output of ``encode_crash``."""
     at, sent_at = now - item.age_ms / MS_PER_S, now - item.sent_ms / MS_PER_S
-    return crashblame.CrashReport(item.engine, item.request, item.parts, at, sent_at)
+    return crashcases.CrashReport(item.engine, item.request, item.parts, at, sent_at)
--- a/berylrock/ops/crashblame.py
+++ b/berylrock/ops/crashblame.py
@@ -7,66 +7,39 @@
 Evidence: when an engine crashes, a gateway knows which of its requests there had not been answered
 yet, and their parts. A part on which any engine has begun an answer since is innocent. Of the
 others, the one that explains the most crashes is blamed, and those crashes count against no other
-part. The gateways exchange what they have seen; each decides for itself and adopts the others'
-decisions.
+part. A part may also turn bad after it was sound; that takes more crashes. The gateways exchange
+what they have seen; each decides for itself and adopts the others' decisions.
 """
 
 import collections
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import enginestate
+from berylrock.ops import crashcases, enginestate
 
-__all__ = ["CrashBlame", "CrashReport"]
+__all__ = ["CrashBlame"]
 
-# Reports of one engine within this time, from any gateway, are about the same crash.
-SAME_CRASH_S = 3.0
 # Crashes are forgotten after the first time, and other gateways are told of them for the second
 # one, in seconds.
 CRASH_TTL_S, REPORTING_S = 120.0, 15.0
 # Time between two decisions, in seconds. Hundreds of gateways report the crashes of a zone at once.
 DECISION_INTERVAL_S = 0.1
-# Crashes and different requests after which a part is blamed, if no engine has ever begun an
-# answer on it; and if one has, as a sound part is in many requests while engines crash one after
-# the other.
-MIN_CRASHES, MIN_REQUESTS = 3, 2
-MIN_CRASHES_ONCE_SOUND, MIN_REQUESTS_ONCE_SOUND = 8, 6
-# Engines that are all lost at once say nothing about what was waiting there. Only a crash under a
-# request that was sent after an earlier crash does, or crashes that go on for this many seconds.
-MIN_ROUNDS = 2
-MIN_SPAN_ONCE_SOUND_S = 20.0
 # A gateway rejects the blame of a part on which an engine has begun to answer within this time
-# before, in seconds.
+# before, in seconds, unless so many crashes have followed.
 KNOWN_SOUND_S = 20.0
 # Parts, decisions on them, and reports that are remembered.
 MAX_PARTS, MAX_DECISIONS, MAX_KNOWN_REPORTS = 20_000, 256, 1000
-# A blamed part is tried again by one request after this time, which doubles each time, in seconds.
-# The gateways try in turn, so that one which gets such requests finds out for all.
-FIRST_TRIAL_S, MAX_TRIAL_S, TRIAL_TURN_S = 60.0, 3600.0, 30.0
+# A blamed part is tried again by one request after the first time, or after the second one if it
+# was sound before. The pause grows by the factor each time. The gateways try in turn, so that one
+# which gets such requests finds out for all. In seconds.
+FIRST_TRIAL_S, TURNED_TRIAL_S, MAX_TRIAL_S, TRIAL_TURN_S = 60.0, 8.0, 3600.0, 30.0
+TRIAL_GROWTH = 4.0
 # Reports that a message carries, the newest ones.
 MAX_REPORTS = 10
 MAX_REPORTED_PARTS = 4
 FINGERPRINT_DIGITS = 8
 
 
-class CrashReport(NamedTuple):
-    """One request that an engine was running, and had not begun to answer, when it crashed.
-
-    Attributes:
-      engine: The engine's id.
-      request: The first digits of the request's fingerprint.
-      parts: Shared parts of its prompt.
-      at: Time of the crash, in seconds.
-      sent_at: When the request was sent to the engine, in seconds.
-    """
-
-    engine: str
-    request: str
-    parts: tuple[str, ...]
-    at: float
-    sent_at: float
-
-
 class _Trial(NamedTuple):
     """When a blamed part may be tried again, and the pause after that, in seconds."""
 
@@ -83,9 +56,9 @@
     def __init__(self) -> None:
         self._begun: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._sent: collections.OrderedDict[str, int] = collections.OrderedDict()
-        self._own: list[CrashReport] = []
+        self._own: list[crashcases.CrashReport] = []
         # The latest report of each engine and request.
-        self._reports: dict[tuple[str, str], CrashReport] = {}
+        self._reports: dict[tuple[str, str], crashcases.CrashReport] = {}
         self._has_news = False
         self._next_decision_at = float("-inf")
         self._decisions: dict[str, routing.BlamedPart] = {}
@@ -120,7 +93,7 @@
     ) -> None:
         """Record that an engine crashed while it ran requests of this gateway."""
         found = [
-            CrashReport(
+            crashcases.CrashReport(
                 engine, item.fingerprint[:FINGERPRINT_DIGITS], item.shared_parts, now, item.sent_at
             )
             for item in broken
@@ -129,19 +102,19 @@
         self._own += found
         self.record_peer(found)
 
-    def record_peer(self, reports: list[CrashReport]) -> None:
+    def record_peer(self, reports: list[crashcases.CrashReport]) -> None:
         """Record the reports of another gateway; those that are known already count once."""
         for report in reports:
             key = report.engine, report.request
             known = self._reports.get(key)
-            if known is None or report.at - known.at >= SAME_CRASH_S:
+            if known is None or report.at - known.at >= crashcases.SAME_CRASH_S:
                 self._reports[key] = report
                 self._has_news = True
                 self._record_failed_trial(report)
         while len(self._reports) > MAX_KNOWN_REPORTS:
             del self._reports[next(iter(self._reports))]
 
-    def _record_failed_trial(self, report: CrashReport) -> None:
+    def _record_failed_trial(self, report: crashcases.CrashReport) -> None:
         """Postpone the next trial of a blamed part that has crashed another engine."""
         for part in report.parts:
             if self.is_blamed(part) and report.sent_at >= self._trials[part].due:
@@ -160,11 +133,21 @@
             return False
         self._keep(decision)
         if not decision.blamed:
-            # The crashes until now say no more against the part.
-            self._begun[decision.part] = now
-        self._trials[decision.part] = _Trial(now + FIRST_TRIAL_S, FIRST_TRIAL_S)
+            self._exonerate(decision.part, now)
+        self._schedule_first_trial(decision.part, now)
         return known is None or known.blamed != decision.blamed
 
+    def _exonerate(self, part: str, now: float) -> None:
+        """Let the crashes until now say no more against a part, nor against those before it.
+
+        The answer that has shown it to be sound was begun on all parts of its prompt.
+        """
+        found = {part}
+        for report in self._reports.values():
+            if part in report.parts:
+                found.update(report.parts[: report.parts.index(part)])
+        self._begun.update(dict.fromkeys(found, now))
+
     def _keep(self, decision: routing.BlamedPart) -> None:
         """Keep a decision as the latest one; the oldest ones are forgotten."""
         self._decisions.pop(decision.part, None)
@@ -175,7 +158,18 @@
             self._trials.pop(oldest, None)
 
     def _is_known_sound(self, part: str, now: float) -> bool:
-        return now - self._begun.get(part, float("-inf")) < KNOWN_SOUND_S
+        """Tell whether an engine has begun an answer on a part lately, and few crashes since.
+
+        All gateways know the crashes, but each one knows only its own answers.
+        """
+        if now - self._begun.get(part, float("-inf")) >= KNOWN_SOUND_S:
+            return False
+        case = self._collect_cases().get(part)
+        return case is None or not case.tells_of_change
+
+    def _is_suspect(self, part: str, crashed_at: float) -> bool:
+        """Tell whether no engine has begun an answer on a part since a crash."""
+        return self._begun.get(part, float("-inf")) < crashed_at
 
     def is_blamed(self, part: str) -> bool:
         """Tell whether requests with this part are refused."""
@@ -201,8 +195,13 @@
         self._postpone_trial(part, now)
         return True
 
+    def _schedule_first_trial(self, part: str, now: float) -> None:
+        """Set the first trial of a blamed part, an early one if the part was sound before."""
+        pause_s = TURNED_TRIAL_S if part in self._begun else FIRST_TRIAL_S
+        self._trials[part] = _Trial(now + pause_s, pause_s)
+
     def _postpone_trial(self, part: str, now: float) -> None:
-        pause_s = min(MAX_TRIAL_S, 2.0 * self._trials[part].pause_s)
+        pause_s = min(MAX_TRIAL_S, TRIAL_GROWTH * self._trials[part].pause_s)
         self._trials[part] = _Trial(now + pause_s, pause_s)
 
     def decide(self, now: float, now_ms: int) -> list[routing.BlamedPart]:
@@ -221,21 +220,26 @@
         while (part := self._find_culprit()) is not None:
             decision = routing.BlamedPart(part, True, now_ms)
             self._keep(decision)
-            self._trials[part] = _Trial(now + FIRST_TRIAL_S, FIRST_TRIAL_S)
+            self._schedule_first_trial(part, now)
             new.append(decision)
         return new
 
-    def _find_culprit(self) -> str | None:
-        """Return the part that explains the most crashes; None if none explains enough."""
-        cases: dict[str, _Case] = {}
-        for group in self._group_by_crash():
+    def _collect_cases(self) -> dict[str, crashcases.Case]:
+        """Return the crashes that each part may explain."""
+        cases: dict[str, crashcases.Case] = {}
+        for group in crashcases.group_by_crash(self._reports.values()):
             if any(self.is_blamed(part) for report in group for part in report.parts):
                 continue
-            for part, reports in _by_part(group).items():
-                if self._begun.get(part, float("-inf")) < reports[0].at:
-                    case = cases.setdefault(part, _Case(part))
-                    case.add(reports)
-        found = [case for case in cases.values() if self._suffices(case)]
+            for part, reports in crashcases.by_part(group).items():
+                if self._is_suspect(part, reports[0].at):
+                    case = cases.setdefault(part, crashcases.Case(part))
+                    case.add(reports, self._is_only_suspect(part, reports))
+        return cases
+
+    def _find_culprit(self) -> str | None:
+        """Return the part that explains the most crashes; None if none explains enough."""
+        cases = self._collect_cases()
+        found = [case for case in cases.values() if case.suffices(case.part in self._begun)]
         if not found:
             return None
         # Of two parts that explain as much, the one in fewer requests is the more specific, and
@@ -245,31 +249,14 @@
         )
         return best.part
 
-    def _suffices(self, case: "_Case") -> bool:
-        if case.part not in self._begun:
-            return (
-                case.crashes >= MIN_CRASHES
-                and len(case.requests) >= MIN_REQUESTS
-                and case.rounds >= MIN_ROUNDS
-            )
-        return (
-            case.crashes >= MIN_CRASHES_ONCE_SOUND
-            and len(case.requests) >= MIN_REQUESTS_ONCE_SOUND
-            and case.span_s >= MIN_SPAN_ONCE_SOUND_S
+    def _is_only_suspect(self, part: str, reports: list[crashcases.CrashReport]) -> bool:
+        """Tell whether a crashed engine had a request of which no other part is a suspect."""
+        return any(
+            all(item == part or not self._is_suspect(item, report.at) for item in report.parts)
+            for report in reports
         )
 
-    def _group_by_crash(self) -> list[list[CrashReport]]:
-        groups: list[list[CrashReport]] = []
-        latest: dict[str, list[CrashReport]] = {}
-        for report in sorted(self._reports.values(), key=lambda item: item.at):
-            group = latest.get(report.engine)
-            if group is None or report.at - group[0].at > SAME_CRASH_S:
-                group = latest[report.engine] = []
-                groups.append(group)
-            group.append(report)
-        return groups
-
-    def reports(self) -> list[CrashReport]:
+    def reports(self) -> list[crashcases.CrashReport]:
         """Return this gateway's newest reports with the parts that may be to blame, for others."""
         results = []
         for report in self._own[-MAX_REPORTS:]:
@@ -280,49 +267,3 @@
     def decisions(self) -> list[routing.BlamedPart]:
         """Return all decisions, for other gateways and for this gateway's record."""
         return list(self._decisions.values())
-
-
-class _Case:
-    """The crashes that a part may explain, added in the order of their times.
-
-    Attributes:
-      part: The part's id.
-      crashes: Number of crashes.
-      requests: The requests with the part that the engines were running.
-      rounds: Crashes that followed each other: in each, a request with the part was sent after the
-        first crash of the round before.
-      span_s: Time from the first crash to the last one, in seconds.
-      place: The part's place in the prompts.
-    """
-
-    def __init__(self, part: str) -> None:
-        self.part = part
-        self.crashes = 0
-        self.requests: set[str] = set()
-        self.rounds = 0
-        self.span_s = 0.0
-        self.place = 0
-        self._first_at = 0.0
-        self._round_at = float("-inf")
-
-    def add(self, reports: list[CrashReport]) -> None:
-        """Add a crash, given the reports of it that contain the part."""
-        at = reports[0].at
-        if not self.crashes:
-            self._first_at = at
-        self.crashes += 1
-        self.span_s = at - self._first_at
-        self.requests |= {report.request for report in reports}
-        self.place = max(self.place, *(report.parts.index(self.part) for report in reports), 0)
-        if max(report.sent_at for report in reports) > self._round_at:
-            self.rounds += 1
-            self._round_at = at
-
-
-def _by_part(group: list[CrashReport]) -> dict[str, list[CrashReport]]:
-    """Return the reports of one crash by the parts that they contain."""
-    found: dict[str, list[CrashReport]] = {}
-    for report in group:
-        for part in report.parts:
-            found.setdefault(part, []).append(report)
-    return found
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -229,7 +229,8 @@
     And the first part of all prompts is not, even if no engine has begun an answer on it
     And one request that is repeated blames no part
     And a part on which an engine has begun an answer since is not blamed
-    And a part that was sound before is blamed after 8 crashes
+    And a part that turns bad is blamed after 5 crashes that no other part explains
+    And after 8 crashes if other parts may explain them
     And requests that an engine had begun to answer blame no part
 
   @failure.poison
@@ -238,6 +239,16 @@
     And no part is blamed when all of 5 engines crash at once right after the start
     And 370 gateways that report the crashes of a zone again and again cost little
 
+  # Guards against a part that crashes engines after it was sound, and against blame by chance.
+  @failure.poison
+  Scenario: A part of many requests crashes engines, while others are asked for as often
+    Given 5 engines, and 5 gateways with 30 requests per second
+    Then a part that crashes engines from 0 s on is refused, and hardly any other request
+    And a part that crashes engines from 20 s on is refused, and hardly any other request
+    And hardly any request is refused when engines crash by chance each 3 s
+    Given 9 engines, and 4 gateways with 54 requests per second
+    Then a part that crashes engines from 20 s on is refused, and hardly any other request
+
   @failure.poison
   Scenario: Gateways adopt the latest decision on a prompt part
     Then a part that another gateway blames is refused, and one that it clears is not
@@ -245,6 +256,7 @@
     And a part that another gateway clears is not blamed for the same crashes again
     And a blamed part is tried again by one request after a minute, and then by another gateway
     And a part that an engine has begun to answer lately is not blamed, whoever blames it
+    And a part that has just been sound is blamed if it has crashed engines since
 
   Scenario: Gateways pool their results on a version on trial
     Then results of several gateways are summed, from datagrams as well as from records
--- a/features/steps/gateway_crasher_steps.py
+++ b/features/steps/gateway_crasher_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from support.platform import engine, fleet, scenario, soakfleet
 
-from berylrock.ops import crashblame
+from berylrock.ops import crashcases
 
 
 @when("a read that crashes engines is sent repeatedly between other reads")
@@ -94,7 +94,7 @@
     context.gateway = DirectFleet(context.root)
     context.cleanups.append(context.gateway.stop)
     for item in scenario.model_engines(context):
-        item.restart_delay_s = crashblame.SAME_CRASH_S + 0.2
+        item.restart_delay_s = crashcases.SAME_CRASH_S + 0.2
     context.gateway.start_all()
     context.names = sorted(context.gateway.gateways)
     context.sent = 0
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -275,9 +275,9 @@
     ),
     Mutant(
         "crash-order",
-        "ops/crashblame.py",
-        "and case.rounds >= MIN_ROUNDS",
-        "and case.rounds >= 0",
+        "ops/crashcases.py",
+        "and self.rounds >= MIN_ROUNDS\n            )",
+        "and self.rounds >= 0\n            )",
         "Engines crash for other reasons",
     ),
     Mutant(
