Name the bounds of the simulation of crashing prompt parts

Read as a newcomer: the bounds were bare numbers, and the two classes had no docstring. No change of what is simulated; the scenario that uses it passes.

--- a/features/support/crashsim.py
+++ b/features/support/crashsim.py
@@ -13,6 +13,10 @@
 KINDS, SUBJECTS = 3, 12
 ATTEMPTS = 3
 MS_PER_S = 1000
+# The subject that crashes engines, and the operators' bound on requests with it: few may reach
+# engines later than this after so many crashes.
+BAD = "kind-0/subject-1"
+MAX_CRASHES, CONTACT_S = 5, 3.0
 
 
 class Load(NamedTuple):
@@ -45,7 +49,8 @@
     Attributes:
       blamed: Parts that any gateway blamed.
       crashes: Crashes on the bad subject.
-      late_sends: Requests with it that reached engines later than 3 s after the fifth of them.
+      late_sends: Requests with it that reached engines later than ``CONTACT_S`` after the last
+        crash that is allowed.
       sound: Requests without it.
       refused: Those of them that were refused because of a blamed part.
     """
@@ -58,6 +63,8 @@
 
 
 class _Request:
+    """A request at the gateway that got it, and at the engine that it was sent to last."""
+
     def __init__(self, number: int, parts: tuple[str, ...], gateway: int) -> None:
         self.number = number
         self.parts = parts
@@ -68,10 +75,9 @@
         self.begins_at = 0.0
 
 
-BAD = "kind-0/subject-1"
-
-
 class _Simulation:
+    """One load with a seed; each gateway keeps what it knows, and hears of the others in steps."""
+
     def __init__(self, load: Load, seed: int) -> None:
         self.load = load
         self.rng = random.Random(seed)
@@ -132,13 +138,13 @@
     def _send(self, req: _Request, now: float) -> None:
         up = [item for item, at in enumerate(self.back_at) if at <= now]
         blame = self.blames[req.gateway]
-        refused = blame.find_blamed(req.parts)
-        if refused and not req.attempts and blame.take_trial(refused, req.gateway, now):
-            refused = ""
-        if refused or not up or req.attempts >= ATTEMPTS:
+        blamed = blame.find_blamed(req.parts)
+        if blamed and not req.attempts and blame.take_trial(blamed, req.gateway, now):
+            blamed = ""
+        if blamed or not up or req.attempts >= ATTEMPTS:
             return
-        if self._is_bad(req.parts[1], now) and len(self.crash_times) >= 5:
-            self.late_sends += now > self.crash_times[4] + 3.0
+        if self._is_bad(req.parts[1], now) and len(self.crash_times) >= MAX_CRASHES:
+            self.late_sends += now > self.crash_times[MAX_CRASHES - 1] + CONTACT_S
         req.attempts += 1
         req.engine = self.rng.choice(up)
         req.sent_at = now
