--- a/berylrock/daemons/gateway/noticing.py
+++ b/berylrock/daemons/gateway/noticing.py
@@ -1,6 +1,7 @@
 """Records what engines say of themselves in their answers."""
 
 import asyncio
+import math
 
 from berylrock.daemons.gateway import context
 from berylrock.ops import enginestate, notices
@@ -23,6 +24,7 @@
         return
     if head.leaving:
         _record_leaving(ctx, state, head.status)
+    _record_limit(ctx, state, head)
     pause_s = notices.accept_pause(head.retry_after_s)
     if pause_s and head.status in PAUSING_STATUSES:
         _record_pause(ctx, state, pause_s)
@@ -35,6 +37,26 @@
     ctx.log.write("engine_leaving", engine=state.engine.id, status=status, running=state.running)
 
 
+def _record_limit(
+    ctx: context.Context, state: enginestate.EngineState, head: translating.ResponseHead
+) -> None:
+    limit_per_s, known = head.limit_per_s, state.notices.limit_per_s
+    if limit_per_s is None or limit_per_s == known:
+        return
+    if math.isinf(limit_per_s) and not head.request_id:
+        # Bytes that are no answer of the engine's own do not show that its limit has ended.
+        return
+    state.notices.limit_per_s = limit_per_s
+    ctx.meter.count("engine_limits")
+    ctx.log.write(
+        "engine_limited",
+        engine=state.engine.id,
+        per_s=limit_per_s,
+        before_per_s=known,
+        running=state.running,
+    )
+
+
 def _record_pause(ctx: context.Context, state: enginestate.EngineState, pause_s: float) -> None:
     state.pause(pause_s, asyncio.get_running_loop().time())
     ctx.meter.count("engine_pauses")
--- a/berylrock/ops/notices.py
+++ b/berylrock/ops/notices.py
@@ -25,11 +25,14 @@
     Attributes:
       leaving: Whether the engine has said that it leaves.
       paused_until: End of the pause that the engine asked for.
+      limit_per_s: Requests per second that the engine takes from all gateways together; infinite
+        if it has named no limit.
     """
 
     def __init__(self) -> None:
         self.leaving = False
         self.paused_until = 0.0
+        self.limit_per_s = math.inf
         self._avoided_until = 0.0
 
     def obstacle(self, now: float) -> str:
--- a/berylrock/platform/names.py
+++ b/berylrock/platform/names.py
@@ -19,6 +19,8 @@
 NOT_RUN = b"x-berylrock-not-executed"
 RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
+# Requests a second from all gateways together, not from the one that gets the answer.
+RATE_LIMIT = b"server-limit"
 CONFIDENCE = b"x-berylrock-hint-confidence"
 WARMUP_MS = b"x-berylrock-warmup-ms"
 ENGINE_PRIORITY = b"x-berylrock-request-priority"
--- a/berylrock/platform/translating.py
+++ b/berylrock/platform/translating.py
@@ -1,5 +1,6 @@
 """Converts requests and responses between the platform's headers and the gateway's types."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -36,6 +37,8 @@
       keep_alive_s: Seconds for which the engine keeps the connection open; None if not given.
       framed: Whether the body has a length or chunks; otherwise it ends with the connection.
       leaving: Whether the engine says that it is about to leave.
+      limit_per_s: Requests per second that the engine takes from all gateways together; infinite
+        if it names no limit, None if what it names is no such number.
       headers: Headers to pass on, as sent.
     """
 
@@ -51,6 +54,7 @@
     keep_alive_s: float | None
     framed: bool
     leaving: bool
+    limit_per_s: float | None
     headers: tuple[tuple[bytes, bytes], ...]
 
 
@@ -153,6 +157,13 @@
     return None
 
 
+def _parse_limit(fields: dict[bytes, bytes]) -> float | None:
+    if names.RATE_LIMIT not in fields:
+        return math.inf
+    limit = _number(fields, names.RATE_LIMIT)
+    return limit if limit is not None and 0.0 <= limit < math.inf else None
+
+
 def read_response_head(status: int, raw: Iterable[tuple[bytes, bytes]]) -> ResponseHead:
     """Read the head of an engine's response."""
     items = list(raw)
@@ -172,6 +183,7 @@
         closes=b"close" in fields.get(b"connection", b"").lower(),
         keep_alive_s=_parse_keep_alive(fields),
         leaving=_text(fields, names.LEAVING) == "1",
+        limit_per_s=_parse_limit(fields),
         framed=b"content-length" in fields or b"transfer-encoding" in fields,
         headers=tuple(item for item in items if item[0].lower() not in dropped),
     )
