--- /dev/null
+++ b/features/gateway_limits.feature
@@ -0,0 +1,23 @@
+Feature: Engines that limit the requests from all gateways together
+  Load pattern: engines in need name in their answers how many requests a second they take from all
+  gateways together, as few as one; callers send many more, to every gateway. Other engines serve
+  meanwhile; if there are none, callers are told at once when to come back.
+
+  # Guards against a limit that no gateway keeps, or that each gateway keeps for itself.
+  @failure.overload
+  Scenario: Three gateways together keep to the limit that an engine names
+    Given three gateways that connect to the engines directly
+    And one engine of each service limits its requests to 1.2 a second
+    When reads and chats are sent to the gateways in turn for 8 s
+    Then each of those engines gets at most 12 requests in any 4 s from 3 s after it named its limit
+    And it still gets some
+    And all reads and chats are answered
+
+  # Guards against requests that wait for an engine whose limit leaves nothing for them.
+  @failure.overload
+  Scenario: Requests that find all engines at their limits are refused at once
+    Given three gateways that connect to the engines directly
+    And every plain engine limits its requests to 1 a second
+    When reads are sent to the gateways in turn for 8 s
+    Then each of those engines gets at most 11 requests in any 4 s from 3 s after it named its limit
+    And some reads are answered, and the others refused within 0.5 s, to come back in 0.1 to 10 s
--- /dev/null
+++ b/features/steps/gateway_limit_steps.py
@@ -0,0 +1,159 @@
+"""Steps on engines that limit the requests that they take from all gateways together."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from support.platform import fleet, scenario
+
+SEND_INTERVAL_S = 0.03
+WINDOW_S = 4.0
+
+
+def limit_engines(context, engines, per_s):
+    """Let engines name a limit from now on."""
+    context.limited = engines
+    for item in engines:
+        item.limit = f"{per_s:g}"
+
+
+@given("one engine of each service limits its requests to {per_s:g} a second")
+def step_one_limited(context, per_s):
+    """Choose the first engine of each."""
+    engines = context.gateway.engines
+    limit_engines(context, [engines["plain-0"], engines["models-0"]], per_s)
+
+
+@given("every plain engine limits its requests to {per_s:g} a second")
+def step_all_limited(context, per_s):
+    """Leave no engine without a limit."""
+    limit_engines(context, scenario.plain_engines(context), per_s)
+
+
+@when("those engines name no limit any more")
+def step_limit_ends(context):
+    """Let the answers of the engines show it."""
+    for item in context.limited:
+        item.limit = ""
+
+
+def send(context, name, path, headers=()):
+    """Return a coroutine that sends a request to a gateway, named in its id, and times it."""
+    context.sent += 1
+    item = context.gateway.gateways[name]
+    lines = [
+        ("Host", fleet.HOST),
+        ("X-Api-Key", fleet.KEY),
+        ("X-Berylrock-Attempt-Id", f"{name}-{context.sent}"),
+        *headers,
+    ]
+
+    async def exchange():
+        begun = time.monotonic()
+        answer = await fleet.exchange((item.host, item.port), "GET", path, lines, b"")
+        return answer, time.monotonic() - begun
+
+    return exchange()
+
+
+def send_for(context, seconds, chats):
+    """Send requests at a steady rate to the gateways in turn, and keep the answers."""
+    chat = (
+        ("X-Berylrock-Model", "*"),
+        ("X-Berylrock-Token-Usage", "100,20"),
+        ("X-Berylrock-Prefix-Hash", "aa:50,bb:50"),
+    )
+
+    async def run():
+        calls, until = [], time.monotonic() + seconds
+        while time.monotonic() < until:
+            name = context.names[len(calls) % len(context.names)]
+            calls.append(asyncio.ensure_future(send(context, name, "/read/a")))
+            if chats:
+                calls.append(asyncio.ensure_future(send(context, name, "/chat/a", chat)))
+            await asyncio.sleep(SEND_INTERVAL_S)
+        return await asyncio.gather(*calls)
+
+    context.results = context.gateway.thread.run(run())
+
+
+@when("reads and chats are sent to the gateways in turn for {seconds:g} s")
+def step_send_both(context, seconds):
+    """Send far more than the engines with a limit take."""
+    send_for(context, seconds, True)
+
+
+@when("reads are sent to the gateways in turn for {seconds:g} s")
+def step_send_reads(context, seconds):
+    """Send far more than the engines take."""
+    send_for(context, seconds, False)
+
+
+def most_in_window(times):
+    """Return the largest number of times within any ``WINDOW_S``."""
+    return max(sum(begin <= at < begin + WINDOW_S for at in times) for begin in times)
+
+
+@then(
+    "each of those engines gets at most {count:d} requests in any 4 s "
+    "from {settled:g} s after it named its limit"
+)
+def step_within_limit(context, count, settled):
+    """Count what arrived, run or not; each engine named its limit in its first answer."""
+    for item in context.limited:
+        first = item.arrivals[0].at
+        times = [arrival.at for arrival in item.arrivals if arrival.at >= first + settled]
+        assert most_in_window(times) <= count if times else True, (item.id, len(times))
+
+
+@then("it still gets some")
+def step_some(context):
+    """Count what arrived once the limit was known everywhere."""
+    for item in context.limited:
+        first = item.arrivals[0].at
+        assert any(arrival.at >= first + 3.0 for arrival in item.arrivals), item.id
+
+
+@then("all reads and chats are answered")
+def step_all_answered(context):
+    """Check the statuses."""
+    failed = [answer for answer, _ in context.results if answer.status != 200 or not answer.whole]
+    assert not failed, failed[:3]
+
+
+@then(
+    "some reads are answered, and the others refused within {limit:g} s, "
+    "to come back in {first:g} to {last:g} s"
+)
+def step_refused(context, limit, first, last):
+    """Check the status, the time and the header of each refusal."""
+    refused = [(answer, took) for answer, took in context.results if answer.status != 200]
+    assert 0 < len(refused) < len(context.results), len(refused)
+    for answer, took_s in refused:
+        assert answer.status == 503, answer
+        assert took_s < limit, took_s
+        assert first <= float(answer.headers["retry-after"]) <= last, answer
+
+
+def last_limits(context, name):
+    """Return the limit that a gateway last logged for each engine, as text."""
+    lines = [line for line in context.gateway.gateways[name].log().splitlines()]
+    fields = [dict(item.split("=", 1) for item in line.split() if "=" in item) for line in lines]
+    limited = [item for item in fields if item.get("event") == "engine_limited"]
+    return {item["engine"]: item["per_s"] for item in limited}
+
+
+@then("every gateway knows of the limit of each of those engines")
+def step_known(context):
+    """Check the last line of each log on each engine."""
+    for name in context.names:
+        found = last_limits(context, name)
+        assert {found.get(item.id) for item in context.limited} == {"0.5"}, (name, found)
+
+
+@then("every gateway knows that they have none")
+def step_known_ended(context):
+    """Check the last line of each log on each engine."""
+    for name in context.names:
+        found = last_limits(context, name)
+        assert {found.get(item.id) for item in context.limited} == {"inf"}, (name, found)
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -81,6 +81,8 @@
       runs: Requests that the engine began to run.
       arrivals: The ``Arrival`` of each request.
       leaving: Whether each answer says that the engine is about to leave.
+      limit: Text with which each answer names the requests per second that the engine takes from all
+        gateways together; empty for no limit.
       pause_s: Seconds from the next request for which the engine refuses all requests and asks for
         none until then; 0 for no pause.
       confidence: Value of the confidence header by model; models without an entry send none.
@@ -98,6 +100,7 @@
         self.runs = []
         self.arrivals = []
         self.leaving = False
+        self.limit = ""
         self.pause_s = 0.0
         self._paused_until = 0.0
         self._refused_id = ""
@@ -248,10 +251,9 @@
         if model in self.confidence:
             headers.append(("X-Berylrock-Hint-Confidence", str(self.confidence[model])))
         headers.append(("Content-Type", "text/event-stream"))
-        if self.leaving:
-            headers.append(("Server-Leaving", "1"))
         if fault == "error stream":
             return await self._send_response(conn, 500, headers, b"id: 4\ndata: error\n\n")
+        headers += self._notices()
         unframed = fault in ("unframed", "empty")
         if unframed:
             headers.append(("Connection", "close"))
@@ -283,10 +285,13 @@
         await conn.send(h11.EndOfMessage())
         return conn.reusable
 
+    def _notices(self):
+        """Return the headers in which the engine speaks of itself."""
+        headers = [("Server-Leaving", "1")] if self.leaving else []
+        return [*headers, ("Server-Limit", self.limit)] if self.limit else headers
+
     async def _send_response(self, conn, status, headers, body):
-        headers = [*headers, ("Content-Length", str(len(body)))]
-        if self.leaving:
-            headers.append(("Server-Leaving", "1"))
+        headers = [*headers, *self._notices(), ("Content-Length", str(len(body)))]
         await conn.send(h11.Response(status_code=status, headers=headers))
         if body:
             await conn.send(h11.Data(data=body))
