--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -137,7 +137,7 @@
 
 def last_limits(context, name):
     """Return the limit that a gateway last logged for each engine, as text."""
-    lines = [line for line in context.gateway.gateways[name].log().splitlines()]
+    lines = context.gateway.gateways[name].log().splitlines()
     fields = [dict(item.split("=", 1) for item in line.split() if "=" in item) for line in lines]
     limited = [item for item in fields if item.get("event") == "engine_limited"]
     return {item["engine"]: item["per_s"] for item in limited}
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -81,8 +81,8 @@
       runs: Requests that the engine began to run.
       arrivals: The ``Arrival`` of each request.
       leaving: Whether each answer says that the engine is about to leave.
-      limit: Text with which each answer names the requests per second that the engine takes from all
-        gateways together; empty for no limit.
+      limit: Requests per second that the engine takes from all gateways together, as each answer
+        names it; empty for no limit.
       pause_s: Seconds from the next request for which the engine refuses all requests and asks for
         none until then; 0 for no pause.
       confidence: Value of the confidence header by model; models without an entry send none.
