Keep the requests of all gateways within the rate that an engine names

An equal share each would let 12 gateways send 16 in 4 s at 1 a second, where 11 are allowed.

A few gateways, chosen by rendezvous hashing among the records in the store, hold fixed shares; the others send nothing. No datagram grants anything, so none that is lost or late adds to the sum; datagrams only spread what an engine said. A gateway that joins holds nothing for 8 s, one that starts reads the limits from the records. A request that finds all engines at their limits is refused at once. docs/design/limits.md has what was weighed.

The two scenarios of features/gateway_limits.feature failed before (47 to 65 requests of 12 and 11) and pass, with 13 s of load in place of 8, as a gateway that has just joined holds no share for 8 s. All gateway features: 216 passed.

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -285,6 +285,7 @@
       evidence: Results of running rollouts, by ``service version``.
       suspects: Ids of the engine crashes during which a request ran, by the request's fingerprint.
       blamed_parts: Decisions on prompt parts that may crash engines.
+      limits: Requests per second that engines take from all gateways together, by the engine's id.
       revision: The store's revision of the record.
     """
 
@@ -297,6 +298,7 @@
     suspects: dict[str, tuple[str, ...]]
     revision: int
     blamed_parts: tuple[BlamedPart, ...] = ()
+    limits: dict[str, float] = {}
 
 
 class PromptPart(NamedTuple):
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -151,6 +151,7 @@
         engine, req = self.state.engine, self._req
         self.sent_at = loop.time()
         self._open = True
+        within_limit = self.state.notices.limit.limited
         self.state.begin(self._work, self.sent_at)
         peers = self._ctx.load_view.peer_load(engine.id, self.sent_at)
         self.work_ahead = self.state.work + peers.work
@@ -161,7 +162,7 @@
             self._record_unreachable()
             self.end()
             return Failure(False, f"unreachable: {exc}", arrived=False)
-        obstacle = self.state.notices.obstacle(loop.time())
+        obstacle = self._find_obstacle(within_limit)
         if obstacle:
             return self._withdraw(obstacle)
         left_s = req.expires_at - loop.time()
@@ -183,6 +184,23 @@
             translating.read_response_head(part.status_code, part.headers.raw_items())
         )
 
+    def _find_obstacle(self, within_limit: bool) -> str:
+        """Return why the request must not be sent after all; empty if it may be.
+
+        Args:
+          within_limit: Whether the engine already had a limit, and the request was counted, when it
+            was chosen. A limit that was learned of while the connection was opened counts as well.
+        """
+        notices, now = self.state.notices, asyncio.get_running_loop().time()
+        obstacle = notices.obstacle(now)
+        if obstacle or within_limit or not notices.limit.limited:
+            return obstacle
+        shares = self._ctx.limit_shares()
+        if notices.limit.permit_at(shares, self.state.engine.id, now) > now:
+            return "engine is at its limit"
+        notices.limit.take(now)
+        return ""
+
     async def _validate(self, head: translating.ResponseHead) -> "OpenedResponse | Failure":
         """Check that the response belongs to this request and comes from an engine that ran it."""
         now = asyncio.get_running_loop().time()
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -1,6 +1,7 @@
 """Holds the state that the parts of a gateway share."""
 
 import asyncio
+import math
 import random
 import time
 from typing import NamedTuple
@@ -11,6 +12,7 @@
     budget,
     buffering,
     crashblame,
+    enginelimits,
     engineset,
     enginestate,
     evidence,
@@ -18,6 +20,7 @@
     latency,
     loadview,
     mirrors,
+    rendezvous,
     rollouts,
     routetable,
     sessionversions,
@@ -69,6 +72,8 @@
       engines_known: Whether a full list of engines has been read.
       peers_asked: Whether the other gateways' records have been read, or at least asked for, since
         the start. They name what must not be sent: crashing requests, and versions found bad.
+      joined_at: Since when the other gateways can know of this one, on the event loop's clock;
+        infinite before they can, and minus infinity if they knew it before it started.
       rollouts: Rollouts by service.
       evidence: Results of each version, and the versions that were found bad.
       sampling_shares: Share of the requests without a session that goes to the version on trial, by
@@ -110,6 +115,7 @@
         self.engines = engineset.EngineSet()
         self.engines_known = False
         self.peers_asked = False
+        self.joined_at = math.inf
         self.rollouts: dict[str, routing.Rollout] = {}
         self._plans: dict[str, tuple[_PlanBasis, rollouts.Plan]] = {}
         self.evidence = evidence.EvidencePool()
@@ -241,6 +247,25 @@
         """Return the names of the other gateways that were heard by datagram lately."""
         return self.load_view.live_gateways(asyncio.get_running_loop().time())
 
+    def limit_shares(self) -> enginelimits.LimitShares:
+        """Return how the limits that engines name are divided among the gateways."""
+        members = rendezvous.list_members(tuple(self.peers), self.cfg.name)
+        now = asyncio.get_running_loop().time()
+        joined = now - self.joined_at >= enginelimits.JOIN_DELAY_S
+        return enginelimits.LimitShares(members, self.cfg.name, joined)
+
+    def log_limit(self, state: enginestate.EngineState, before_per_s: float, gateway: str) -> None:
+        """Log that an engine has another limit than before, and which gateway it told."""
+        self.meter.count("engine_limits")
+        self.log.write(
+            "engine_limited",
+            engine=state.engine.id,
+            per_s=state.notices.limit.report.per_s,
+            before_per_s=before_per_s,
+            by=gateway,
+            running=state.running,
+        )
+
     def gateway_count(self) -> int:
         """Return the number of gateways that may be sending requests, including this one."""
         return max(1, len(self.peers) + (self.cfg.name not in self.peers))
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -1,5 +1,8 @@
 """Publishes this gateway's record, by conditional writes to the store."""
 
+import asyncio
+import math
+
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context
 from berylrock.ops import evidence, freshness
@@ -27,6 +30,8 @@
         self._written_at = 0.0
         self._written: routing.Peer | None = None
         self._failed = False
+        # Whether the record had to be created, and no write has succeeded since.
+        self._creates = False
 
     def _make_record(self) -> routing.Peer:
         ctx = self._ctx
@@ -45,8 +50,15 @@
             suspects=suspects,
             revision=0,
             blamed_parts=tuple(ctx.blame.decisions()),
+            limits=self._own_limits(),
         )
 
+    def _own_limits(self) -> dict[str, float]:
+        """Return the limits of the engines for which this gateway writes them, one for each."""
+        shares = self._ctx.limit_shares()
+        found = self._ctx.engines.limited()
+        return {name: per_s for name, per_s in found.items() if shares.is_first(name)}
+
     async def publish_if_due(self) -> None:
         """Write the record if a heartbeat is due, or earlier if it has urgent changes."""
         now = freshness.boottime_clock()
@@ -75,11 +87,13 @@
     def _has_urgent_changes(self, record: routing.Peer, written: routing.Peer) -> bool:
         """Tell whether others need the change early.
 
-        This holds for new suspects, for blamed prompt parts, and for more bad results of a version
-        on trial.
+        This holds for new suspects, for blamed prompt parts, for limits that begin or end, and for
+        more bad results of a version on trial.
         """
         if record.suspects != written.suspects or record.blamed_parts != written.blamed_parts:
             return True
+        if record.limits.keys() != written.limits.keys():
+            return True
         trials = {(item.service, item.target) for item in self._ctx.rollouts.values()}
         before = evidence.decode_results(written.evidence)
         return any(
@@ -97,11 +111,22 @@
         if self._revision is None:
             await self._read_revision()
         if self._revision is None:
+            self._creates = True
             stored = await store.create(names.PEERS_KIND, record.name, spec)
         else:
             stored = await store.replace(names.PEERS_KIND, record.name, spec, self._revision)
+        self._record_joined()
         self._revision = stored.revision if stored is not None else None
 
+    def _record_joined(self) -> None:
+        """Record that the others can read this gateway's record from now on, or could before."""
+        if self._creates:
+            self._ctx.joined_at = asyncio.get_running_loop().time()
+        elif self._ctx.joined_at == math.inf:
+            # The record of an earlier process of this name was still there.
+            self._ctx.joined_at = -math.inf
+        self._creates = False
+
     async def _read_revision(self) -> None:
         try:
             stored = await self._ctx.store.get(names.PEERS_KIND, self._ctx.cfg.name)
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -1,22 +1,24 @@
 """Forwards one request to engines, with retries, until its caller has a response."""
 
 import asyncio
+import math
 
 import h11
 
 from berylrock.adapters import http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import admitting, attempt, context, pool, responding, sending
-from berylrock.ops import baselines, enginestate, evidence, rollouts, timeouts
+from berylrock.ops import baselines, enginestate, evidence, notices, rollouts, timeouts
 
 __all__ = ["Forwarding"]
 
 MAX_RESPONSE_BYTES = 8_388_608
 SERVER_ERROR = 500
-# Time between two looks for an engine that is free, and while all engines want a pause, in seconds.
+# Time between two looks for an engine that is free, and while all of them want a pause or are at
+# their limits, in seconds.
 ENGINE_WAIT_STEP_S, PAUSE_WAIT_STEP_S = 0.015, 0.1
 RETRY_AFTER_S = 0.4
-# Callers that are refused because all engines want a pause come back within this share of it, after
+# Callers that are refused because of pauses or limits come back within this share of it, after
 # its end.
 PAUSE_SPREAD_SHARE = 0.25
 
@@ -53,24 +55,32 @@
     async def find_engine(self, model: str) -> enginestate.EngineState | None:
         """Choose an engine, waiting briefly for one that can take the request; None if none can.
 
-        While all engines want a pause, the request waits for the first one that ends in time.
+        While all engines want a pause, the request waits for the first one that ends in time. If
+        all are at their limits, it waits no longer than for engines that are busy for a moment.
         """
         may_have_run = self.dispatcher.attempts_run > 0
         wait_s = timeouts.engine_wait_s(self.req.route.latency_target_s, may_have_run)
-        until = self.now + wait_s
+        until = first_until = self.now + wait_s
         usual_s = self.ctx.baselines.usual_first_part_s(self.req.route.name, model)
         while True:
             state = self.dispatcher.choose(model)
             if state is not None:
                 return state
-            pause_end = self.dispatcher.find_pause_end()
-            if pause_end is not None:
-                until = timeouts.wait_for_pause(pause_end, wait_s, usual_s, self.req.expires_at)
+            obstacle = self.dispatcher.find_obstacle()
+            if obstacle is not None:
+                until = self._wait_until(obstacle, first_until, wait_s, usual_s)
             if self.now >= min(until, self.req.expires_at):
                 return None
-            left_s = 0.0 if pause_end is None else pause_end - self.now
+            left_s = 0.0 if obstacle is None else obstacle.ends_at - self.now
             await asyncio.sleep(min(PAUSE_WAIT_STEP_S, max(ENGINE_WAIT_STEP_S, left_s)))
 
+    def _wait_until(
+        self, obstacle: notices.Obstacle, until: float, wait_s: float, usual_s: float
+    ) -> float:
+        if obstacle.is_pause:
+            return timeouts.wait_for_pause(obstacle.ends_at, wait_s, usual_s, self.req.expires_at)
+        return timeouts.wait_for_limit(obstacle.ends_at, until)
+
     def response_start_timeouts(self) -> timeouts.ResponseTimeouts | None:
         """Return how long to wait for the response to begin; None to stay with the engine."""
         if not routing.is_repeatable(self.req.route) or self.dispatcher.attempts_left < 2:
@@ -93,10 +103,19 @@
 
     def _retry_after_s(self) -> float:
         """Return when the caller should come back, spread over the time after that."""
-        pause_end = self.dispatcher.find_pause_end()
-        pause_s = 0.0 if pause_end is None else max(0.0, pause_end - self.now)
-        spread_s = max(RETRY_AFTER_S, PAUSE_SPREAD_SHARE * pause_s)
-        return pause_s + RETRY_AFTER_S * 0.5 + spread_s * self.ctx.rng.random()
+        left_s = self._obstacle_left_s()
+        spread_s = max(RETRY_AFTER_S, PAUSE_SPREAD_SHARE * left_s)
+        return left_s + RETRY_AFTER_S * 0.5 + spread_s * self.ctx.rng.random()
+
+    def _obstacle_left_s(self) -> float:
+        """Return the seconds until an engine may get a request, if pauses or limits prevent it."""
+        obstacle = self.dispatcher.find_obstacle()
+        if obstacle is None:
+            return 0.0
+        if math.isinf(obstacle.ends_at):
+            # Only other gateways may send to the engines, and a caller that returns may reach them.
+            return 1.0 / self.dispatcher.sum_limits()
+        return max(0.0, obstacle.ends_at - self.now)
 
     def record_result(
         self, opened: attempt.OpenedResponse, good: bool, first_part_s: float
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -28,7 +28,9 @@
 FANOUT = 32
 # Versions and routes whose results a datagram carries.
 BUSIEST_RESULTS, OTHER_RESULTS = 8, 4
-MAX_BLAMED_PARTS, MAX_LEAVING = 8, 16
+MAX_BLAMED_PARTS, MAX_LEAVING, MAX_LIMITS = 8, 16, 16
+# For how long the others are told of a limit that has ended, in seconds.
+ENDED_LIMIT_S = 30.0
 MS_PER_S = 1000.0
 PROCESS_BITS = 63
 # Datagrams of unknown senders are logged once in this time.
@@ -45,6 +47,7 @@
         self._peer_timestamps: dict[str, views.SendTimestamp] = {}
         self._unknown_logged_at = float("-inf")
         self._next_result = 0
+        self._next_limit = 0
 
     async def start(self) -> None:
         """Listen for datagrams; raises ``SettingsError`` if the port cannot be used."""
@@ -78,6 +81,7 @@
             self._record_crashes(message)
             self._record_views(message, sent_at)
             self._ctx.engines.record_hints(message.leaving, now)
+            self._record_limits(message, sent_at)
         loads = tuple(
             loadview.EngineLoad(name, running, work, now - quiet_ms / MS_PER_S)
             for name, running, work, quiet_ms in message.loads
@@ -123,6 +127,25 @@
             self._ctx.adopt_blame(decision, message.gateway)
         self._ctx.decide_blame()
 
+    def _record_limits(self, message: gossipmessage.GossipMessage, sent_at: float) -> None:
+        """Record the limits that engines named to other gateways.
+
+        Args:
+          message: The message.
+          sent_at: When this process sent the timestamp that the message echoes, on the clock of
+            ``freshness.boottime_clock``.
+        """
+        now = asyncio.get_running_loop().time()
+        delay_s = max(0.0, freshness.boottime_clock() - sent_at)
+        for engine_id, per_s, age_ms in message.limits:
+            state, latest = self._ctx.engines.find(engine_id), now - max(0, age_ms) / MS_PER_S
+            if state is None or not per_s >= 0.0:
+                continue
+            limit = state.notices.limit
+            before_per_s = limit.report.per_s
+            if limit.hear(per_s, latest - delay_s, latest):
+                self._ctx.log_limit(state, before_per_s, message.gateway)
+
     def _record_views(self, message: gossipmessage.GossipMessage, sent_at: float) -> None:
         """Record how fresh the other gateway's view of the store is.
 
@@ -187,6 +210,7 @@
             ],
             blamed_parts=ctx.blame.decisions()[-MAX_BLAMED_PARTS:],
             leaving=ctx.engines.leaving_ids()[-MAX_LEAVING:],
+            limits=self._choose_limits(now),
         )
 
     def _choose_results(self) -> evidence.EvidenceByKey:
@@ -199,6 +223,13 @@
             chosen[others[self._next_result]] = found[others[self._next_result]]
         return chosen
 
+    def _choose_limits(self, now: float) -> list[tuple[str, float, int]]:
+        """Choose the limits of engines to send, in turns if there are many."""
+        found = self._ctx.engines.limits(now - ENDED_LIMIT_S)
+        first, self._next_limit = self._next_limit, self._next_limit + MAX_LIMITS
+        chosen = [found[(first + n) % len(found)] for n in range(min(MAX_LIMITS, len(found)))]
+        return [(name, item.per_s, int((now - item.at) * MS_PER_S)) for name, item in chosen]
+
     def _choose_peers(self) -> list[routing.Peer]:
         """Choose the receivers: the gateways of the own zone, and a sample of the others."""
         ctx = self._ctx
--- a/berylrock/daemons/gateway/gossipmessage.py
+++ b/berylrock/daemons/gateway/gossipmessage.py
@@ -64,6 +64,8 @@
       crashes: What engines were running when they crashed, the newest first.
       blamed_parts: Decisions on prompt parts that may crash engines.
       leaving: Ids of engines that have told the sender that they leave.
+      limits: Engine id, requests per second from all gateways together, and milliseconds since an
+        engine named this limit to any gateway; infinite for an engine that names none any more.
     """
 
     gateway: str
@@ -78,6 +80,7 @@
     crashes: list[ReportedCrash] = []
     blamed_parts: list[routing.BlamedPart] = []
     leaving: list[str] = []
+    limits: list[tuple[str, float, int]] = []
 
 
 def shrink(message: GossipMessage) -> None:
--- a/berylrock/daemons/gateway/noticing.py
+++ b/berylrock/daemons/gateway/noticing.py
@@ -1,10 +1,9 @@
 """Records what engines say of themselves in their answers."""
 
 import asyncio
-import math
 
 from berylrock.daemons.gateway import context
-from berylrock.ops import enginestate, notices
+from berylrock.ops import enginelimits, enginestate, notices
 from berylrock.platform import translating
 
 __all__ = ["record"]
@@ -40,21 +39,14 @@
 def _record_limit(
     ctx: context.Context, state: enginestate.EngineState, head: translating.ResponseHead
 ) -> None:
-    limit_per_s, known = head.limit_per_s, state.notices.limit_per_s
-    if limit_per_s is None or limit_per_s == known:
+    per_s, before_per_s = head.limit_per_s, state.notices.limit.report.per_s
+    if per_s is None:
         return
-    if math.isinf(limit_per_s) and not head.request_id:
+    if per_s == enginelimits.NO_LIMIT and not head.request_id:
         # Bytes that are no answer of the engine's own do not show that its limit has ended.
         return
-    state.notices.limit_per_s = limit_per_s
-    ctx.meter.count("engine_limits")
-    ctx.log.write(
-        "engine_limited",
-        engine=state.engine.id,
-        per_s=limit_per_s,
-        before_per_s=known,
-        running=state.running,
-    )
+    if state.notices.limit.record(per_s, asyncio.get_running_loop().time()):
+        ctx.log_limit(state, before_per_s, ctx.cfg.name)
 
 
 def _record_pause(ctx: context.Context, state: enginestate.EngineState, pause_s: float) -> None:
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -7,6 +7,7 @@
 from berylrock.ops import (
     budget,
     enginegroup,
+    enginelimits,
     enginestate,
     enginework,
     freshness,
@@ -128,21 +129,27 @@
             tried=frozenset(self.tried),
             now=now,
             preferred=offer.preferred,
+            limits=ctx.limit_shares(),
         )
         return selection.choose(offer.states, criteria, ctx.rng, ctx.load_view)
 
-    def find_pause_end(self) -> float | None:
-        """Return when the first engine may get requests again, if all of them asked for a pause.
+    def find_obstacle(self) -> notices.Obstacle | None:
+        """Return when the first engine may get the request, if pauses or limits prevent it now."""
+        now = asyncio.get_running_loop().time()
+        return notices.find_obstacle(self._untried(now), self._ctx.limit_shares(), now)
 
-        Returns:
-          The time on the event loop's clock; None if the request need not wait for that.
-        """
-        table, now = self._ctx.table, asyncio.get_running_loop().time()
+    def sum_limits(self) -> float:
+        """Return the requests per second that the untried engines take from all gateways."""
+        untried = self._untried(asyncio.get_running_loop().time())
+        return enginelimits.sum_limits(item.notices.limit for item in untried)
+
+    def _untried(self, now: float) -> list[enginestate.EngineState]:
+        """Return the engines of the request's version that it was not sent to."""
+        table = self._ctx.table
         if table is None or self._req.service not in table.services:
-            return None
+            return []
         states = self._group_of(self._choose_version(now)).states
-        untried = [item for item in states if item.engine.id not in self.tried]
-        return notices.find_pause_end(untried, now)
+        return [item for item in states if item.engine.id not in self.tried]
 
     def _group_of(self, version: str | None) -> enginegroup.EngineGroup:
         """Return the engines of a version.
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -4,7 +4,7 @@
 
 from berylrock.core import errors, message, routing, stored
 from berylrock.daemons.gateway import context, watching
-from berylrock.ops import engineset, evidence, freshness, routetable
+from berylrock.ops import enginelimits, engineset, evidence, freshness, routetable
 from berylrock.platform import decoding, names
 
 __all__ = ["StoreSync"]
@@ -162,6 +162,16 @@
         for item in (*listing.objects, *changed):
             self._update_peer(item, now)
         self.expire_peers(now)
+        self._assume_limits()
+
+    def _assume_limits(self) -> None:
+        """Assume the limits in the records; where there are several, the lowest one."""
+        recorded: dict[str, float] = {}
+        for peer, _ in self._ctx.peers.values():
+            for engine_id, per_s in peer.limits.items():
+                recorded[engine_id] = min(per_s, recorded.get(engine_id, per_s))
+        for state in self._ctx.engines.assume_limits(recorded):
+            self._ctx.log_limit(state, enginelimits.NO_LIMIT, "")
 
     def _update_peer(self, item: stored.StoredObject, now: float) -> None:
         peer = decoding.decode_peer(item)
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import enginegroup, enginestate, notices
+from berylrock.ops import enginegroup, enginelimits, enginestate, notices
 
 __all__ = ["EngineSet", "StoreOutage"]
 
@@ -73,6 +73,7 @@
         self._states: dict[str, enginestate.EngineState] = {}
         self._groups: dict[tuple[str, str | None], enginegroup.EngineGroup] = {}
         self._kept_notices: dict[str, _KeptNotices] = {}
+        self._recorded_limits: dict[str, float] = {}
         self._store_lost_at: float | None = None
         self._store_back_at: float | None = None
         self.evacuated: frozenset[str] = frozenset()
@@ -133,6 +134,7 @@
         if state is None or _has_restarted(state.engine, engine):
             state = self._states[engine.id] = enginestate.EngineState(engine)
             self._restore_notices(state, now)
+            self._assume_limit(state)
             state.mark_cold(now, engine.warmup_left_s)
             self._forget_groups()
             return Change(engine.id, "draining" if engine.draining else "added")
@@ -219,6 +221,37 @@
             if state is not None:
                 state.notices.record_hint(now)
 
+    def limited(self) -> dict[str, float]:
+        """Return the limits of the engines that have one, by the engine's id."""
+        found = [(name, item.notices.limit) for name, item in self._states.items()]
+        return {name: item.report.per_s for name, item in found if item.limited}
+
+    def assume_limits(self, recorded: dict[str, float]) -> list[enginestate.EngineState]:
+        """Assume the limits in the gateways' records for engines of which nothing was heard yet.
+
+        Args:
+          recorded: Requests per second from all gateways together, by the engine's id.
+
+        Returns:
+          The engines that have another limit than before.
+        """
+        self._recorded_limits = recorded
+        return [item for item in self._states.values() if self._assume_limit(item)]
+
+    def _assume_limit(self, state: enginestate.EngineState) -> bool:
+        per_s = self._recorded_limits.get(state.engine.id)
+        return per_s is not None and state.notices.limit.assume(per_s)
+
+    def limits(self, since: float) -> list[tuple[str, enginelimits.LimitReport]]:
+        """Return the engines that have a limit, or whose limit has ended since a time.
+
+        Each comes with the last report on its limit.
+        """
+        found = [(name, item.notices.limit) for name, item in self._states.items()]
+        return [
+            (name, item.report) for name, item in found if item.limited or item.ended_at > since
+        ]
+
     def expire(self, now: float) -> list[Change]:
         """Remove engines whose records lapsed and were not registered again in time."""
         if self._is_near_outage(now):
--- a/berylrock/ops/enginestate.py
+++ b/berylrock/ops/enginestate.py
@@ -74,6 +74,7 @@
         self.running += 1
         self.work += work
         self.send_window.record(now)
+        self.notices.limit.take(now)
 
     def mark_cold(self, now: float, seconds: float = POSSIBLY_COLD_S) -> None:
         """Treat the engine as cold for at least ``seconds`` from now on."""
--- a/berylrock/ops/notices.py
+++ b/berylrock/ops/notices.py
@@ -1,15 +1,19 @@
-"""What an engine says of itself in its answers: that it leaves, or that it wants a pause.
+"""What an engine says of itself in its answers: that it leaves, or wants a pause or few requests.
 
 Scenario: an engine is about to leave, and its record in the store does not say so yet, or the store
 is away. Scenario: an engine refuses a request and names the seconds for which it wants no more from
-this gateway; a request that is sent all the same only delays its recovery.
+this gateway; a request that is sent all the same only delays its recovery. Scenario: all engines of
+a service limit the requests that they take, and callers send many more.
 """
 
 import math
 from collections.abc import Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-__all__ = ["EngineNotices", "accept_pause", "find_pause_end"]
+from berylrock.core import routing
+from berylrock.ops import enginelimits
+
+__all__ = ["EngineNotices", "Obstacle", "accept_pause", "find_obstacle"]
 
 # Longest pause that is accepted, so that a faulty engine cannot take itself out for a day.
 MAX_PAUSE_S = 120.0
@@ -25,14 +29,13 @@
     Attributes:
       leaving: Whether the engine has said that it leaves.
       paused_until: End of the pause that the engine asked for.
-      limit_per_s: Requests per second that the engine takes from all gateways together; infinite
-        if it has named no limit.
+      limit: The limit that the engine has named on the requests of all gateways together.
     """
 
     def __init__(self) -> None:
         self.leaving = False
         self.paused_until = 0.0
-        self.limit_per_s = math.inf
+        self.limit = enginelimits.EngineLimit()
         self._avoided_until = 0.0
 
     def obstacle(self, now: float) -> str:
@@ -56,9 +59,25 @@
         return now < self._avoided_until
 
 
+class Obstacle(NamedTuple):
+    """Why no engine may get a request now.
+
+    Attributes:
+      ends_at: When the first engine may get one, in seconds; infinite if this gateway has no share
+        of any limit.
+      is_pause: Whether that engine asked for a pause; otherwise it is at its limit.
+    """
+
+    ends_at: float
+    is_pause: bool
+
+
 class _Noticed(Protocol):
     """Something with the notices of an engine, such as its state."""
 
+    @property
+    def engine(self) -> routing.Engine: ...
+
     notices: EngineNotices
 
 
@@ -78,17 +97,26 @@
     return min(MAX_PAUSE_S, retry_after_s)
 
 
-def find_pause_end(engines: Iterable[_Noticed], now: float) -> float | None:
-    """Return when the first engine ends its pause, if requests have to wait for that.
+def find_obstacle(
+    engines: Iterable[_Noticed], shares: enginelimits.LimitShares, now: float
+) -> Obstacle | None:
+    """Return when the first engine may get a request, if pauses or limits keep it from all of them.
 
     Args:
       engines: The engines that could run a request.
+      shares: Division of their limits among the gateways.
       now: Time in seconds.
 
     Returns:
-      The end in seconds; None if an engine wants no pause, or if there is none that stays.
+      The obstacle; None if an engine may get a request now, or if there is none that stays.
     """
-    staying = [item.notices for item in engines if not item.notices.leaving]
-    if not staying or any(now >= item.paused_until for item in staying):
-        return None
-    return min(item.paused_until for item in staying)
+    found = []
+    for item in engines:
+        if item.notices.leaving:
+            continue
+        permit_at = item.notices.limit.permit_at(shares, item.engine.id, now)
+        pause_end = item.notices.paused_until
+        if max(permit_at, pause_end) <= now:
+            return None
+        found.append(Obstacle(max(permit_at, pause_end), pause_end > permit_at))
+    return min(found, default=None)
--- a/berylrock/ops/pacing.py
+++ b/berylrock/ops/pacing.py
@@ -11,12 +11,11 @@
 """
 
 import collections
-import functools
-import hashlib
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from berylrock.core import routing
+from berylrock.ops import rendezvous
 
 __all__ = ["RateShares", "SendWindow", "make_shares"]
 
@@ -26,8 +25,6 @@
 WINDOW_MARGIN_S = 0.15
 # Factor between the limits for warm and cold engines.
 WARM_FACTOR = 3
-MAX_CACHED_POSITIONS = 4096
-MAX_CACHED_NAMES = 4
 
 
 class RateShares(NamedTuple):
@@ -59,23 +56,8 @@
         if not cold:
             return max(1, base) * WARM_FACTOR
         # The remainder of the division goes to some gateways, which differ between engines.
-        return base + (_position(engine_id, self.gateways, self.own_name) < extra)
-
-
-@functools.lru_cache(maxsize=MAX_CACHED_POSITIONS)
-def _position(engine_id: str, gateways: tuple[str, ...], own_name: str) -> int:
-    """Return the position of a gateway, from 0, in the order of an engine (rendezvous hashing)."""
-    own = _rendezvous_hash(engine_id, own_name)
-    return sum(_rendezvous_hash(engine_id, name) < own for name in gateways)
-
-
-def _rendezvous_hash(engine_id: str, gateway: str) -> bytes:
-    return hashlib.blake2b(f"{engine_id}\0{gateway}".encode(), digest_size=8).digest()
-
-
-@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
-def _sorted_names(gateways: tuple[str, ...], own_name: str) -> tuple[str, ...]:
-    return tuple(sorted({*gateways, own_name}))
+        position = rendezvous.find_position(engine_id, self.gateways, self.own_name)
+        return base + (position < extra)
 
 
 def make_shares(
@@ -92,7 +74,7 @@
     Returns:
       The division.
     """
-    names = _sorted_names(tuple(gateways), own_name)
+    names = rendezvous.list_members(tuple(gateways), own_name)
     if service.warmup_per_s <= 0.0:
         return RateShares(None, names, own_name)
     total = service.warmup_per_s * bounds.warmup_overrun + bounds.warmup_margin
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import enginestate, enginework, loadview, pacing
+from berylrock.ops import enginelimits, enginestate, enginework, loadview, pacing
 
 __all__ = ["Criteria", "affinity_key", "choose"]
 
@@ -49,6 +49,7 @@
       now: Time in seconds on the event loop's clock.
       preferred: Ids of the engines that keep the prompt part, as in ``enginegroup``; empty to find
         one among all engines.
+      limits: Division of the limits that engines name among the gateways.
     """
 
     zone: str
@@ -59,6 +60,7 @@
     tried: frozenset[str]
     now: float
     preferred: tuple[str, ...] = ()
+    limits: enginelimits.LimitShares = enginelimits.UNSHARED
 
 
 def affinity_key(head: routing.RequestHead, model: str) -> str:
@@ -141,6 +143,8 @@
         for item in states
         if item.engine.id not in criteria.tried
         and not item.notices.obstacle(criteria.now)
+        and item.notices.limit.permit_at(criteria.limits, item.engine.id, criteria.now)
+        <= criteria.now
         and item.send_window.allows(
             criteria.shares.limit(item.engine.id, item.cold_until > criteria.now), criteria.now
         )
--- a/berylrock/ops/subsets.py
+++ b/berylrock/ops/subsets.py
@@ -6,18 +6,14 @@
 subset.
 """
 
-import hashlib
 from collections import defaultdict
 
 from berylrock.core import data
+from berylrock.ops import rendezvous
 
 __all__ = ["choose"]
 
 
-def _hash_pair(entry: str, server: str) -> bytes:
-    return hashlib.blake2b(f"{entry}\0{server}".encode(), digest_size=8).digest()
-
-
 def choose(servers: tuple[data.Server, ...], entry: str, size: int) -> tuple[data.Server, ...]:
     """Choose the subset of servers for an entry process.
 
@@ -35,6 +31,6 @@
     chosen: list[data.Server] = []
     for members in pools.values():
         if len(members) > size:
-            members = sorted(members, key=lambda item: _hash_pair(entry, item.name))[:size]
+            members = sorted(members, key=lambda item: rendezvous.digest(entry, item.name))[:size]
         chosen.extend(members)
     return tuple(chosen)
--- a/berylrock/ops/timeouts.py
+++ b/berylrock/ops/timeouts.py
@@ -13,6 +13,7 @@
     "next_event_timeouts",
     "response_start_timeouts",
     "should_abandon",
+    "wait_for_limit",
     "wait_for_pause",
 ]
 
@@ -78,6 +79,22 @@
     return pause_end + wait_s
 
 
+def wait_for_limit(permit_at: float, until: float) -> float:
+    """Return until when a request waits while all engines are at their limits.
+
+    Scenario: all engines of a service name limits, and callers send many times as much. Those that
+    wait would only be refused later.
+
+    Args:
+      permit_at: When the first engine may get the next request.
+      until: Until when the request waits for an engine that is not free for a moment.
+
+    Returns:
+      The time on the same clock; it has passed if no engine may get the request until then.
+    """
+    return until if permit_at <= until else 0.0
+
+
 def response_start_timeouts(latency_target_s: float) -> ResponseTimeouts:
     """Return the timeouts for the first event of a stream or the head of a complete response.
 
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -285,6 +285,7 @@
     evidence: dict[str, tuple[int, ...]] = {}
     suspects: dict[str, tuple[str, ...]] = {}
     blamed_parts: tuple[routing.BlamedPart, ...] = ()
+    limits: dict[str, float] = {}
 
 
 def decode_peer(item: stored.StoredObject) -> routing.Peer | None:
@@ -303,6 +304,7 @@
         suspects=raw.suspects,
         revision=item.revision,
         blamed_parts=raw.blamed_parts,
+        limits=raw.limits,
     )
 
 
@@ -316,4 +318,5 @@
         "evidence": peer.evidence,
         "suspects": peer.suspects,
         "blamed_parts": peer.blamed_parts,
+        "limits": peer.limits,
     }
--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -8,7 +8,7 @@
   Scenario: Three gateways together keep to the limit that an engine names
     Given three gateways that connect to the engines directly
     And one engine of each service limits its requests to 1.2 a second
-    When reads and chats are sent to the gateways in turn for 8 s
+    When reads and chats are sent to the gateways in turn for 13 s
     Then each of those engines gets at most 12 requests in any 4 s from 3 s after it named its limit
     And it still gets some
     And all reads and chats are answered
@@ -18,6 +18,16 @@
   Scenario: Requests that find all engines at their limits are refused at once
     Given three gateways that connect to the engines directly
     And every plain engine limits its requests to 1 a second
-    When reads are sent to the gateways in turn for 8 s
+    When reads are sent to the gateways in turn for 13 s
     Then each of those engines gets at most 11 requests in any 4 s from 3 s after it named its limit
     And some reads are answered, and the others refused within 0.5 s, to come back in 0.1 to 10 s
+
+  # Guards against an engine that stays limited at gateways that get no answers of it.
+  Scenario: All gateways learn that a limit has ended
+    Given three gateways that connect to the engines directly
+    And one engine of each service limits its requests to 0.5 a second
+    When reads and chats are sent to the gateways in turn for 3 s
+    Then every gateway knows of the limit of each of those engines
+    When those engines name no limit any more
+    And reads and chats are sent to the gateways in turn for 6 s
+    Then every gateway knows that they have none
--- a/features/steps/gateway_notice_decision_steps.py
+++ b/features/steps/gateway_notice_decision_steps.py
@@ -12,7 +12,7 @@
 from support.gateway_data import make_criteria, make_engine, make_states
 
 from berylrock.daemons.gateway import attempt, pool
-from berylrock.ops import engineset, loadview, notices, selection, timeouts
+from berylrock.ops import enginelimits, engineset, loadview, notices, selection, timeouts
 from berylrock.platform import translating
 
 SERVICE, VERSION = "models", "v1"
@@ -145,12 +145,13 @@
     """Check the first end, an engine without a pause, and the time that an answer takes."""
     states = make_states(2)
     states[0].pause(3.0, 100.0)
-    assert notices.find_pause_end(states, 100.0) is None
+    shares = enginelimits.UNSHARED
+    assert notices.find_obstacle(states, shares, 100.0) is None
     states[1].pause(5.0, 100.0)
-    assert notices.find_pause_end(states, 100.0) == 103.0
+    assert notices.find_obstacle(states, shares, 100.0) == notices.Obstacle(103.0, True)
     states[0].notices.leaving = True
-    assert notices.find_pause_end(states, 100.0) == 105.0
-    assert notices.find_pause_end([], 100.0) is None
+    assert notices.find_obstacle(states, shares, 100.0) == notices.Obstacle(105.0, True)
+    assert notices.find_obstacle([], shares, 100.0) is None
     assert timeouts.wait_for_pause(103.0, 0.1, 0.5, 104.0) == 103.1
     assert timeouts.wait_for_pause(103.0, 0.1, 1.5, 104.0) < 100.0
 
