--- a/berylrock/daemons/gateway/watching.py
+++ b/berylrock/daemons/gateway/watching.py
@@ -44,7 +44,15 @@
     A list that is older than the state is ignored.
     """
     mirror = ctx.mirrors[kind_watch.kind]
+    known_revision = mirror.revision
     if not mirror.apply(listing, full):
+        ctx.log.write(
+            "list_ignored",
+            kind=kind_watch.kind,
+            revision=listing.revision,
+            known_revision=known_revision,
+            era=ctx.store.era,
+        )
         return
     view = ctx.views.get(kind_watch.kind)
     if view is not None:
--- a/berylrock/platform/names.py
+++ b/berylrock/platform/names.py
@@ -25,6 +25,9 @@
 WARMUP_MS = b"x-berylrock-warmup-ms"
 ENGINE_PRIORITY = b"x-berylrock-request-priority"
 
+# How often the store has come back from an older copy of its contents.
+STORE_ERA = b"store-era"
+
 ANY_MODEL = "*"
 
 # Headers that only the system may set. They are dropped from a caller's request.
--- a/berylrock/platform/store.py
+++ b/berylrock/platform/store.py
@@ -9,7 +9,7 @@
 
 from berylrock.adapters import http1
 from berylrock.core import errors, stored
-from berylrock.platform import decoding
+from berylrock.platform import decoding, names
 
 __all__ = ["HistoryGone", "Store"]
 
@@ -40,12 +40,14 @@
       address: Address and port of the store.
       calls: Calls made so far.
       answered_at: Time of the last answer that was no refusal, on the event loop's clock.
+      era: How often the store has come back from an older copy, as its last answer says.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.calls = 0
         self.answered_at = float("-inf")
+        self.era = 0
         self._idle: list[http1.EngineConnection] = []
 
     async def list(self, kind: str, stale: bool = False) -> stored.Listing:
@@ -202,6 +204,7 @@
         head = await conn.next_event()
         if not isinstance(head, h11.Response):
             raise http1.ResponseBroken("no response head")
+        self._record_era(dict(head.headers).get(names.STORE_ERA, b""))
         data = bytearray()
         while True:
             event = await conn.next_event()
@@ -212,6 +215,10 @@
                 if len(data) > MAX_ANSWER_BYTES:
                     raise http1.ResponseBroken(f"answer of more than {MAX_ANSWER_BYTES} bytes")
 
+    def _record_era(self, text: bytes) -> None:
+        if text.isdigit():
+            self.era = int(text)
+
     async def _acquire(self) -> http1.EngineConnection:
         now = asyncio.get_running_loop().time()
         while self._idle:
