--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -169,7 +169,7 @@
         """Return the address under which an engine is registered in the store."""
         return f"127.0.0.1:{self.engines[name].port}"
 
-    def add_engine(self, name, service, version="v1", zone="etna-a", state="ready"):
+    def add_engine(self, name, service, version="v1", zone="etna-a", state="ready", sequence=1):
         """Start an engine, unless it runs already, and write its entry to the store.
 
         Args:
@@ -178,6 +178,7 @@
           version: Version of its software.
           zone: Its availability zone.
           state: Its state in the store.
+          sequence: How often the engine has written its entry.
 
         Returns:
           The engine.
@@ -196,7 +197,7 @@
             "batch-slots": 8,
             "state": state,
             "warmup-left-ms": 0,
-            "sequence": 1,
+            "sequence": sequence,
             "born": self.started_ms[name],
         }
         self.put("servers", name, entry)
--- a/features/support/platform/store.py
+++ b/features/support/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from typing import NamedTuple
 from urllib import parse
 
 import h11
@@ -13,6 +14,13 @@
 REFUSAL_STATUS = {"busy": 503, "limited": 429}
 
 
+class Copy(NamedTuple):
+    """The store's contents at a moment: objects by kind and name, and the revision."""
+
+    objects: dict
+    revision: int
+
+
 class StandInStore:
     """An HTTP store that holds objects in memory.
 
@@ -38,6 +46,7 @@
       stale_revision: Revision of the answers to list requests that allow stale data, which then
         have no entries; None if such requests get current data.
       silent_kinds: Kinds of objects whose requests are not answered.
+      era: How often the store has come back from an older copy, and one.
       lost_pages: Number of the next requests for a page after the first that are reset.
       server: The listening server; None before ``start``.
       port: Port on which the store listens; 0 before ``start``.
@@ -49,6 +58,7 @@
         self.mode = "up"
         self.calls = []
         self.history_start = 0
+        self.era = 1
         self.page_size = 500
         self.stale_revision = None
         self.silent_kinds = set()
@@ -106,6 +116,19 @@
             self.revision += 1
             self._changed.notify_all()
 
+    def take_copy(self):
+        """Return a copy of the contents, from which the store can come back."""
+        return Copy(dict(self.objects), self.revision)
+
+    async def restore(self, copy):
+        """Come back from a copy: later writes are lost, and their revisions are used again."""
+        async with self._changed:
+            self.objects = dict(copy.objects)
+            self.revision = copy.revision
+            self._events = [item for item in self._events if item[0] <= copy.revision]
+            self.era += 1
+            self._changed.notify_all()
+
     def _write(self, kind, name, spec, status):
         self.revision += 1
         old = self.objects.get((kind, name), {"spec": None, "status": None})
@@ -181,6 +204,7 @@
     async def _send_response(self, conn, status, answer):
         body = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
         headers = [("content-length", str(len(body))), ("content-type", "application/json")]
+        headers.append(("store-era", str(self.era)))
         await conn.send(h11.Response(status_code=status, headers=headers))
         await conn.send(h11.Data(data=body))
         await conn.send(h11.EndOfMessage())
@@ -212,21 +236,23 @@
         return 200, {"entries": entries, "has-more": more, "at": self.revision}
 
     async def _watch(self, kind, revision, wait_ms):
-        if revision < self.history_start:
+        if revision < self.history_start or revision > self.revision:
             return 410, {"error": "gone"}
+        era = self.era
 
         def found():
             return [item for item in self._events if item[0] > revision and item[1] == kind]
 
         def ready():
-            return found() or self.mode != "up" or revision < self.history_start
+            gone = revision < self.history_start or era != self.era
+            return found() or self.mode != "up" or gone
 
         try:
             async with self._changed, asyncio.timeout(wait_ms / 1000):
                 await self._changed.wait_for(ready)
         except TimeoutError:
             pass
-        if revision < self.history_start:
+        if revision < self.history_start or era != self.era:
             return 410, {"error": "gone"}
         events = [{"object": item[2], "deleted": item[3]} for item in found()]
         return 200, {"events": events, "at": self.revision}
