Keep engines out of use whose leaving the store has forgotten

An entry with a lower sequence than the known one of the same start is outdated and not used. The entry of an engine that was gone before the store came back is doubted until it would have expired; a later start counts at once. Ruled out: to compare revisions, which the copy has as new ones of its era.

What was kept of engines without a record moves to ops/departures.

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -222,6 +222,7 @@
       warmup_left_s: Remaining cold time when the entry was last written.
       revision: The store's revision of the entry.
       started_ms: When the engine started, in milliseconds since 1970; 0 if not known.
+      sequence: How often the engine had written its entry since its start; 0 if not known.
     """
 
     id: str
@@ -234,6 +235,7 @@
     warmup_left_s: float
     revision: int
     started_ms: int = 0
+    sequence: int = 0
 
 
 class Rollout(NamedTuple):
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -260,9 +260,7 @@
             revision=stored.find_number(revision),
         )
         if kind == names.ENGINES_KIND:
-            now = asyncio.get_running_loop().time()
-            self.engines.record_store_lost(now)
-            self.engines.record_store_back(now)
+            self.engines.record_restored(asyncio.get_running_loop().time())
 
     def limit_shares(self) -> enginelimits.LimitShares:
         """Return how the limits that engines name are divided among the gateways."""
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -8,14 +8,12 @@
 from typing import NamedTuple
 
 from berylrock.core import routing
-from berylrock.ops import enginegroup, enginelimits, enginestate, notices
+from berylrock.ops import departures, enginegroup, enginelimits, enginestate
 
 __all__ = ["EngineSet", "StoreOutage"]
 
 # Time for engines to register again after an outage of the store.
 RETURN_GRACE_S = 2.3
-# For how long the notices of an engine without a record are kept, and of how many engines.
-KEPT_NOTICES_S, MAX_KEPT_NOTICES = 120.0, 4096
 
 
 class Change(NamedTuple):
@@ -37,21 +35,11 @@
     ended_ago_s: float | None
 
 
-class _KeptNotices(NamedTuple):
-    """What an engine without a record has said of itself, and may say yet to running requests.
-
-    The record may return while the engine still runs: an old list is read, or the engine registers
-    again after an outage of the store.
-    """
-
-    notices: notices.EngineNotices
-    started_ms: int
-    kept_at: float
-
-
 def _is_alike(one: routing.Engine, other: routing.Engine) -> bool:
-    """Tell whether two records of an engine differ at most in its warm-up and their revision."""
-    return one == other._replace(warmup_left_s=one.warmup_left_s, revision=one.revision)
+    """Tell whether two records of an engine differ at most in its warm-up and their age."""
+    return one == other._replace(
+        warmup_left_s=one.warmup_left_s, revision=one.revision, sequence=one.sequence
+    )
 
 
 def _has_restarted(known: routing.Engine, engine: routing.Engine) -> bool:
@@ -59,6 +47,16 @@
     return 0 < known.started_ms < engine.started_ms
 
 
+def _is_outdated(known: routing.Engine, engine: routing.Engine) -> bool:
+    """Tell whether a record is older than the known one, although its revision is newer.
+
+    The store has then come back from a copy, and the engine has not written its record again.
+    """
+    if engine.started_ms != known.started_ms:
+        return engine.started_ms < known.started_ms
+    return engine.sequence < known.sequence
+
+
 class EngineSet:
     """The engines of all services.
 
@@ -72,7 +70,7 @@
         self.generation = 0
         self._states: dict[str, enginestate.EngineState] = {}
         self._groups: dict[tuple[str, str | None], enginegroup.EngineGroup] = {}
-        self._kept_notices: dict[str, _KeptNotices] = {}
+        self._departures = departures.Departures()
         self._recorded_limits: dict[str, float] = {}
         self._store_lost_at: float | None = None
         self._store_back_at: float | None = None
@@ -89,6 +87,16 @@
             self._store_lost_at = None
             self._store_back_at = now
 
+    def record_restored(self, now: float) -> None:
+        """Record that the store has come back from an older copy.
+
+        The records of engines that started after the copy are missing, as after an outage, and
+        those of engines that are gone since are there again.
+        """
+        self.record_store_lost(now)
+        self.record_store_back(now)
+        self._departures.record_restored(now)
+
     def outage(self, now: float) -> StoreOutage:
         """Return the state of the store, for a gateway that reads through this one."""
         back_at = self._store_back_at
@@ -131,9 +139,11 @@
           None otherwise.
         """
         state = self._states.get(engine.id)
+        if state is None and self._departures.doubts(engine, now):
+            return Change(engine.id, "doubted")
         if state is None or _has_restarted(state.engine, engine):
             state = self._states[engine.id] = enginestate.EngineState(engine)
-            self._restore_notices(state, now)
+            self._departures.restore_notices(state, now)
             self._assume_limit(state)
             state.mark_cold(now, engine.warmup_left_s)
             self._forget_groups()
@@ -141,7 +151,12 @@
         if engine.revision < state.engine.revision:
             return None
         previous = state.engine
-        state.engine, state.lapsed_at = engine, None
+        state.lapsed_at = None
+        if _is_outdated(previous, engine):
+            state.engine = previous._replace(revision=engine.revision)
+            is_news = engine.revision > previous.revision
+            return Change(engine.id, "outdated") if is_news else None
+        state.engine = engine
         state.mark_cold(now, engine.warmup_left_s)
         if not _is_alike(previous, engine):
             self._forget_groups()
@@ -162,6 +177,7 @@
         Returns:
           The change to log; None if nothing changed.
         """
+        self._departures.remove_doubted(engine_id)
         state = self._states.get(engine_id)
         if state is None:
             return None
@@ -175,27 +191,16 @@
         return Change(engine_id, "removed")
 
     def _drop(self, engine_id: str, now: float) -> None:
-        """Drop an engine, but keep what it says of itself in case its record returns."""
-        state = self._states.pop(engine_id)
+        """Drop an engine, but remember what it says of itself in case its record returns."""
+        self._departures.record(self._states.pop(engine_id), now)
         self._forget_groups()
-        self._kept_notices.pop(engine_id, None)
-        self._kept_notices[engine_id] = _KeptNotices(state.notices, state.engine.started_ms, now)
-        while len(self._kept_notices) > MAX_KEPT_NOTICES:
-            del self._kept_notices[next(iter(self._kept_notices))]
-
-    def _restore_notices(self, state: enginestate.EngineState, now: float) -> None:
-        """Restore what an engine had said of itself, unless it has started again since."""
-        kept = self._kept_notices.pop(state.engine.id, None)
-        if kept is None or now - kept.kept_at >= KEPT_NOTICES_S:
-            return
-        if kept.started_ms >= state.engine.started_ms:
-            state.notices = kept.notices
 
     def replace(self, engines: tuple[routing.Engine, ...], now: float) -> list[Change]:
         """Replace all records by a complete list; returns the changes to log."""
         listed = {item.id for item in engines}
         changes = [self.put(item, now) for item in engines]
-        missing = [name for name in self._states if name not in listed]
+        known = self._departures.doubted_ids() | self._states.keys()
+        missing = [name for name in known if name not in listed]
         changes += [self.remove(name, now) for name in missing]
         return [item for item in changes if item is not None]
 
@@ -253,13 +258,18 @@
         ]
 
     def expire(self, now: float) -> list[Change]:
-        """Remove engines whose records lapsed and were not registered again in time."""
+        """Remove engines whose records lapsed and were not registered again in time.
+
+        Engines whose records were doubted and have not expired are added.
+        """
+        added = [self.put(item, now) for item in self._departures.take_confirmed(now)]
+        changes = [item for item in added if item is not None]
         if self._is_near_outage(now):
-            return []
+            return changes
         gone = [name for name, state in self._states.items() if state.lapsed_at is not None]
         for name in gone:
             self._drop(name, now)
-        return [Change(name, "removed") for name in gone]
+        return changes + [Change(name, "removed") for name in gone]
 
     def find(self, engine_id: str) -> enginestate.EngineState | None:
         """Return the engine with this id; None if it is unknown."""
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -202,6 +202,7 @@
     batch_slots: int = 1
     warmup_left_ms: float = 0.0
     born: int = 0
+    sequence: int = 0
 
 
 def decode_engine(item: stored.StoredObject) -> routing.Engine | None:
@@ -225,6 +226,7 @@
         warmup_left_s=max(0.0, raw.warmup_left_ms / MS_PER_S),
         revision=item.revision,
         started_ms=raw.born,
+        sequence=raw.sequence,
     )
 
 
--- a/features/steps/gateway_era_steps.py
+++ b/features/steps/gateway_era_steps.py
@@ -1,5 +1,7 @@
 """Steps on revisions of several eras of the store, with its client and without a gateway."""
 
+import asyncio
+
 from behave import given, then
 from support.platform import loop, store
 
@@ -8,13 +10,14 @@
 from berylrock.platform import store as client
 
 KIND = "gateways"
+CLOSING_S = 0.05
 
 
 @given("a stand-in store that has come back from a copy and has used its revisions again")
 def step_restored(context):
     """Write after the copy, list, come back, and write as often as before."""
     context.loop = loop.LoopThread()
-    context.cleanups.append(context.loop.stop)
+    context.cleanups.append(lambda: close(context))
     stand_in = context.store = store.StandInStore()
     run = context.loop.run
     run(stand_in.start())
@@ -30,6 +33,14 @@
     context.after = run(context.client.list(KIND))
 
 
+def close(context):
+    """Close all connections while the loop runs, and then the loop."""
+
+    context.loop.call(context.client.close)
+    context.loop.run(asyncio.sleep(CLOSING_S))
+    context.loop.stop()
+
+
 def number_of(listing):
     """Return the store's counter in a list."""
     return stored.find_number(listing.revision)
