Keep a rollout's progress that the store has lost, and write it again

A rollout that is behind what this gateway saw in an earlier era keeps its state and stage; the gateways in turn write them again. 'A rollout that was completed is completed in the store again' failed before (in_progress) and passes. ops/turns uses the digest of ops/rendezvous, which stood twice.

--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -34,6 +34,7 @@
       backoff: Pauses after failed writes.
       retry_at: Time before which no write is made, by ``freshness.boottime_clock``.
       vetoed_at: Time at which the version was first known to be bad; None if it is not.
+      lost_at: Time at which the store was first seen to have lost its progress; None if it has not.
     """
 
     def __init__(self, rollout: routing.Rollout, streams: bool, now: float) -> None:
@@ -43,6 +44,7 @@
         self.held_stage = -1
         self.retry_at = 0.0
         self.vetoed_at: float | None = None
+        self.lost_at: float | None = None
 
 
 class RolloutController:
@@ -53,11 +55,37 @@
         self._progress: dict[str, _Progress] = {}
 
     async def decide_rollouts(self) -> None:
-        """Decide on every rollout that is not finished."""
+        """Decide on every rollout that is not finished, and write again what the store lost."""
+        for rollout in list(self._ctx.rollout_recovery.unwritten.values()):
+            await self._write_again(rollout)
         for rollout in list(self._ctx.rollouts.values()):
             if rollout.state in ("new", "running"):
                 await self._decide_one(rollout)
 
+    async def _write_again(self, rollout: routing.Rollout) -> None:
+        """Write the known progress of a rollout when it is this gateway's turn."""
+        now = freshness.boottime_clock()
+        progress = self._progress_of(rollout, now)
+        if progress.lost_at is None:
+            progress.lost_at = now
+        due = progress.lost_at + self._turn_s(rollout, f"{rollout.state} again")
+        if now < max(due, progress.retry_at):
+            return
+        outcome = await self._write(rollout)
+        if outcome:
+            progress.retry_at = freshness.boottime_clock() + progress.backoff.next_pause_s()
+        else:
+            progress.backoff.reset()
+            progress.lost_at = None
+        self._ctx.log.write(
+            "rollout_written_again",
+            service=rollout.service,
+            target=rollout.target,
+            state=rollout.state,
+            stage=rollout.stage,
+            outcome=outcome or "written",
+        )
+
     async def _decide_one(self, rollout: routing.Rollout) -> None:
         """Write the next state of a rollout if there is one and it is this gateway's turn."""
         now = freshness.boottime_clock()
@@ -175,8 +203,7 @@
         now: float,
     ) -> rollouts.Decision | None:
         ctx = self._ctx
-        subject = f"{rollout.service}\0{rollout.target}\0{rollout.state}\0{rollout.stage}"
-        delay_s = turns.delay_s(ctx.cfg.name, ctx.gateways_heard(), subject)
+        delay_s = self._turn_s(rollout, rollout.state)
         if ctx.is_vetoed(rollout.service, rollout.target):
             if progress.vetoed_at is None:
                 progress.vetoed_at = now
@@ -190,6 +217,11 @@
             self._schedule(rollout),
         )
 
+    def _turn_s(self, rollout: routing.Rollout, state: str) -> float:
+        """Return how much later than the first gateway this one makes a write."""
+        subject = f"{rollout.service}\0{rollout.target}\0{state}\0{rollout.stage}"
+        return turns.delay_s(self._ctx.cfg.name, self._ctx.gateways_heard(), subject)
+
     def _schedule(self, rollout: routing.Rollout) -> rollouts.Schedule:
         """Return the start times of a rollout's stages at the current rate of requests."""
         ctx, service = self._ctx, rollout.service
@@ -219,7 +251,8 @@
     def _update_rollout(self, rollout: routing.Rollout | None) -> None:
         known = self._ctx.rollouts.get(rollout.service) if rollout is not None else None
         if rollout is not None and (known is None or known.revision < rollout.revision):
-            self._ctx.rollouts[rollout.service] = rollout
+            kept = self._ctx.rollout_recovery.update(known, rollout)
+            self._ctx.rollouts[rollout.service] = kept
 
     def _log(
         self,
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -22,6 +22,7 @@
     loadview,
     mirrors,
     rendezvous,
+    rolloutrecovery,
     rollouts,
     routetable,
     sessionversions,
@@ -77,6 +78,7 @@
       joined_at: Since when the other gateways can know of this one, on the event loop's clock;
         infinite before they can, and minus infinity if they knew it before it started.
       rollouts: Rollouts by service.
+      rollout_recovery: Their progress that the store has lost.
       evidence: Results of each version, and the versions that were found bad.
       sampling_shares: Share of the requests without a session that goes to the version on trial, by
         service and route.
@@ -120,6 +122,7 @@
         self.peers_asked = False
         self.joined_at = math.inf
         self.rollouts: dict[str, routing.Rollout] = {}
+        self.rollout_recovery = rolloutrecovery.RolloutRecovery()
         self._plans: dict[str, tuple[_PlanBasis, rollouts.Plan]] = {}
         self.evidence = evidence.EvidencePool()
         self.sampling_shares: dict[str, dict[str, float]] = {}
@@ -267,6 +270,8 @@
             self.engines.record_restored(now)
         if kind == names.EVACUATIONS_KIND:
             self.evacuations.record_restored(now)
+        if kind == names.ROLLOUTS_KIND:
+            self.rollout_recovery.record_restored(now)
 
     def limit_shares(self) -> enginelimits.LimitShares:
         """Return how the limits that engines name are divided among the gateways."""
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -89,18 +89,23 @@
                 ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
 
     def _apply_rollouts(self, listing: stored.Listing, full: bool) -> None:
+        ctx, recovery = self._ctx, self._ctx.rollout_recovery
         if full:
-            found = [decoding.decode_rollout(item) for item in listing.objects]
-            self._ctx.rollouts = {item.service: item for item in found if item is not None}
-            for item in self._ctx.rollouts.values():
+            decoded = [decoding.decode_rollout(item) for item in listing.objects]
+            found = [item for item in decoded if item is not None]
+            now = asyncio.get_running_loop().time()
+            ctx.rollouts = recovery.replace(ctx.rollouts, found, now)
+            for item in ctx.rollouts.values():
                 self._log_rollout(item)
         for changed in listing.changes:
             rollout = decoding.decode_rollout(changed.stored)
             if changed.deleted:
-                self._ctx.rollouts.pop(changed.stored.name, None)
+                ctx.rollouts.pop(changed.stored.name, None)
+                recovery.remove(changed.stored.name)
             elif rollout is not None and self._is_newer(rollout):
-                self._ctx.rollouts[rollout.service] = rollout
-                self._log_rollout(rollout)
+                known = ctx.rollouts.get(rollout.service)
+                ctx.rollouts[rollout.service] = recovery.update(known, rollout)
+                self._log_rollout(ctx.rollouts[rollout.service])
 
     def _is_newer(self, rollout: routing.Rollout) -> bool:
         """Tell whether a rollout is newer than what this gateway's own write returned."""
--- a/berylrock/ops/turns.py
+++ b/berylrock/ops/turns.py
@@ -7,18 +7,15 @@
 the gateways' names, since a zone that fails takes neighbouring names with it.
 """
 
-import hashlib
 from collections.abc import Iterable
 
+from berylrock.ops import rendezvous
+
 __all__ = ["delay_s"]
 
 TURN_S = 0.1
 
 
-def _rank_key(subject: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{subject}\0{name}".encode(), digest_size=8).digest()
-
-
 def delay_s(own: str, others: Iterable[str], subject: str) -> float:
     """Return how much later than the first gateway this one makes a write.
 
@@ -30,6 +27,6 @@
     Returns:
       The delay in seconds.
     """
-    own_key = _rank_key(subject, own)
-    rank = sum(_rank_key(subject, name) < own_key for name in others)
+    own_key = rendezvous.digest(subject, own)
+    rank = sum(rendezvous.digest(subject, name) < own_key for name in others)
     return TURN_S * rank.bit_length()
