Write a gateway's record again once the store has come back without it

A gateway whose record was newer than the copy stayed without one until its next heartbeat, up to 20 s, and the others dropped its datagrams as those of an unknown sender (load, retry budgets, views). It writes its record again within 1.5 s, and gateways that are heard are kept meanwhile. 'A gateway writes its record again' failed before (no record within 15 s) and passes.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -83,6 +83,8 @@
       sampling_shares: Share of the requests without a session that goes to the version on trial, by
         service and route.
       peers: Records of the gateways by name, with the time at which each last changed.
+      peers_restored_at: When the store was last seen to have come back with older records, on the
+        event loop's clock.
       sessions: Version of each active session.
       strikes: Requests that were running on engines when those crashed.
       blame: Prompt parts that may crash engines.
@@ -127,6 +129,7 @@
         self.evidence = evidence.EvidencePool()
         self.sampling_shares: dict[str, dict[str, float]] = {}
         self.peers: dict[str, tuple[routing.Peer, float]] = {}
+        self.peers_restored_at = -math.inf
         self.sessions = sessionversions.SessionVersions()
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
@@ -266,6 +269,8 @@
             revision=stored.find_number(revision),
         )
         now = asyncio.get_running_loop().time()
+        if kind == names.PEERS_KIND:
+            self.peers_restored_at = now
         if kind == names.ENGINES_KIND:
             self.engines.record_restored(now)
         if kind == names.EVACUATIONS_KIND:
--- a/berylrock/daemons/gateway/control.py
+++ b/berylrock/daemons/gateway/control.py
@@ -14,6 +14,8 @@
 HEARTBEAT_INTERVAL_S = 20.0
 # Time after a write that failed.
 RETRY_INTERVAL_S = 5.0
+# All gateways write their records again when the store has come back, spread over this time.
+REWRITE_SPREAD_S = 1.5
 # Evidence reaches the other gateways by datagrams as well.
 EVIDENCE_INTERVAL_S = 2.5
 # Versions and routes with results in a record, which the store limits in size.
@@ -32,6 +34,7 @@
         self._failed = False
         # Whether the record had to be created, and no write has succeeded since.
         self._creates = False
+        self._restored_at = -math.inf
 
     def _make_record(self) -> routing.Peer:
         ctx = self._ctx
@@ -62,6 +65,7 @@
     async def publish_if_due(self) -> None:
         """Write the record if a heartbeat is due, or earlier if it has urgent changes."""
         now = freshness.boottime_clock()
+        self._check_restored(now)
         record = self._make_record()
         if now - self._written_at < self._interval_s(record):
             return
@@ -78,6 +82,15 @@
             self._revision = None
             self._ctx.log.write("record_not_written", error=str(exc))
 
+    def _check_restored(self, now: float) -> None:
+        """Have the record written again soon if the store has come back without it."""
+        if self._ctx.peers_restored_at <= self._restored_at:
+            return
+        self._restored_at = self._ctx.peers_restored_at
+        self._written = self._revision = None
+        spread_s = REWRITE_SPREAD_S * self._ctx.rng.random()
+        self._written_at = now - EVIDENCE_INTERVAL_S + spread_s
+
     def _interval_s(self, record: routing.Peer) -> float:
         """Return the time in seconds from the last attempt to write until the next one."""
         if self._written is None or self._has_urgent_changes(record, self._written):
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -20,6 +20,8 @@
 BATCH_PAUSE_S = 0.25
 # Time after which a gateway counts as gone if its record does not change and it is not heard.
 PEER_TTL_S = 45.0
+# Time within which gateways write their records again after the store has come back without them.
+RECORD_RETURN_S = 8.0
 
 
 class StoreSync:
@@ -166,6 +168,9 @@
         gone = {item.stored.name for item in listing.changes if item.deleted}
         if full:
             gone = set(peers) - {item.name for item in listing.objects}
+        if now < self._ctx.peers_restored_at + RECORD_RETURN_S:
+            # They live, and write their records again.
+            gone -= {*self._ctx.gateways_heard(), self._ctx.cfg.name}
         for name in gone:
             peers.pop(name, None)
             self._expired.pop(name, None)
