Pause between watches of the store that end before they could wait

Other loops on the store were read: lists of pages, confirmations, records and rollouts each wait between calls.

--- a/berylrock/daemons/gateway/watching.py
+++ b/berylrock/daemons/gateway/watching.py
@@ -16,6 +16,8 @@
 CHECK_INTERVAL_S = 0.2
 # Longest time for which a watch relies on another one to find out whether the store answers.
 MAX_QUIET_S = 2.5
+# A watch without a change that ends before this share of its time was not held open.
+EARLY_SHARE = 0.1
 
 
 class KindWatch(NamedTuple):
@@ -72,6 +74,8 @@
         self._mirror = ctx.mirrors[kind_watch.kind]
         self._needs_list = True
         self._backoff = backoff.Backoff(MIN_BACKOFF_S, MAX_BACKOFF_S)
+        # Unlike the other one, it is not reset by a list that succeeds between two such watches.
+        self._early_backoff = backoff.Backoff(MIN_BACKOFF_S, MAX_BACKOFF_S)
         self._lost = False
 
     async def run(self) -> None:
@@ -85,6 +89,7 @@
             except store.HistoryGone:
                 self._ctx.log.write("history_gone", kind=self._kind_watch.kind)
                 self._needs_list = True
+                await self._pause_early()
                 continue
             except (errors.StoreUnavailable, errors.NotFound, errors.Conflict) as exc:
                 await self._handle_error(exc)
@@ -105,17 +110,32 @@
             self._needs_list = False
             return 0.0
         wait_s = self._wait_s()
+        started_at = freshness.boottime_clock()
         found = await self._watch(self._mirror.revision, wait_s)
         if found is None:
             return None
         if not found.changes:
             self._mirror.apply(found, False)
-            return wait_s
+            quiet_s = min(wait_s, freshness.boottime_clock() - started_at)
+            await self._pace(quiet_s, wait_s)
+            return quiet_s
+        self._early_backoff.reset()
         apply_listing(self._ctx, kind_watch, found, False)
         # Changes mostly come in bursts; the next call returns those that follow within the pause.
         await asyncio.sleep(kind_watch.batch_pause_s)
         return 0.0
 
+    async def _pace(self, quiet_s: float, wait_s: float) -> None:
+        """Pause after a watch that ended without a change long before its time."""
+        if quiet_s < EARLY_SHARE * wait_s:
+            await self._pause_early()
+        else:
+            self._early_backoff.reset()
+
+    async def _pause_early(self) -> None:
+        """Pause for longer each time that a watch ends before it could wait."""
+        await asyncio.sleep(self._early_backoff.next_pause_s() * (0.5 + self._ctx.rng.random()))
+
     async def _wait_for_relay_end(self) -> None:
         """Wait until this gateway has to watch the store itself.
 
--- a/features/gateway_restored.feature
+++ b/features/gateway_restored.feature
@@ -83,6 +83,22 @@
     When the store comes back from the copy after 0.5 s
     Then within 4 s the gateway's record is in the store
 
+  # Guards against a loop of calls without a pause, whatever the store answers.
+  @failure.store_outage
+  Scenario Outline: A store that is <mode> is not asked in a loop
+    Given a gateway with a stand-in store and stand-in engines
+    When the store enters the mode "<mode>"
+    And 4 s pass
+    Then the gateway has called the store at most 90 times meanwhile
+    And requests are answered
+
+    Examples:
+      | mode  |
+      | gone  |
+      | hasty |
+      | busy  |
+      | down  |
+
   # Guards against an answer about another object's change that has the same number.
   Scenario: What is known by a revision before the copy came back is not used after that
     Given a stand-in store that has come back from a copy and has used its revisions again
--- a/features/steps/gateway_restored_steps.py
+++ b/features/steps/gateway_restored_steps.py
@@ -225,3 +225,23 @@
         time.sleep(1 / PROBES_PER_S)
     assert find_status(context, service)["state"] == "completed", find_status(context, service)
     assert sum(len(item.runs) for item in old) == before
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    """Count the calls to the store within this time."""
+    context.gateway.store.calls.clear()
+    time.sleep(seconds)
+    context.call_count = len(context.gateway.store.calls)
+
+
+@then("the gateway has called the store at most {count:d} times meanwhile")
+def step_calls_meanwhile(context, count):
+    """Check the count."""
+    assert 0 < context.call_count <= count, context.call_count
+
+
+@then("requests are answered")
+def step_requests_answered(context):
+    """Check one read while the store still has its fault."""
+    assert context.gateway.send().status in (200, 503)
--- a/features/support/platform/store.py
+++ b/features/support/platform/store.py
@@ -31,6 +31,8 @@
     - ``silent``: requests are not answered
     - ``busy``: status 503
     - ``limited``: status 429
+    - ``gone``: watches get 410 at once
+    - ``hasty``: watches are answered at once, without a change
     - ``lossy``: writes are performed and not answered
     - ``endless``: answers have a body without end
     - ``late``: writes are not answered, and performed a second later if their condition still
@@ -236,7 +238,9 @@
         return 200, {"entries": entries, "has-more": more, "at": self.revision}
 
     async def _watch(self, kind, revision, wait_ms):
-        if revision < self.history_start or revision > self.revision:
+        if self.mode == "hasty":
+            return 200, {"events": [], "at": self.revision}
+        if self.mode == "gone" or revision < self.history_start or revision > self.revision:
             return 410, {"error": "gone"}
         era = self.era
 
