Pass over odd entries in the store one by one

Another writer's entry among those of the engines, nested 5,000 deep, with a number of 5,000 digits, 1e999, NaN or half of a character, hid the whole list or ended its watch, so nothing was followed; ports 99999 and -5 and a host with a zero byte became engines, and each request that tried one lost its caller's connection (OverflowError, ValueError). An answer that cannot be decoded as a whole is split without regard to its nesting, and each entry decoded by itself; contents nested deeper than 32 count as none, as relays could not pass them on; addresses, ports and counts are checked. In one era of the store, what is written later counts, whatever its sequence says.

Decoding of objects and lists moves to platform/storedobjects.

--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -246,7 +246,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 stream, writer = await asyncio.open_connection(*address)
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, OverflowError, ValueError) as exc:
+            # The last two are for addresses that no socket can have.
             raise ConnectFailed(f"cannot connect to {address[0]}:{address[1]}: {exc!r}") from exc
         return cls(stream, writer)
 
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from berylrock.core import routing
+from berylrock.core import routing, stored
 from berylrock.ops import departures, enginegroup, enginelimits, enginestate
 
 __all__ = ["EngineSet", "StoreOutage"]
@@ -48,10 +48,14 @@
 
 
 def _is_outdated(known: routing.Engine, engine: routing.Engine) -> bool:
-    """Tell whether a record is older than the known one, although its revision is newer.
+    """Tell whether a record is older than the known one, although its revision is not.
 
-    The store has then come back from a copy, and the engine has not written its record again.
+    The store has then come back from a copy, and the engine has not written its record again. What
+    is written in the same era is newer, whatever it says of itself.
     """
+    rewritten = engine.revision > known.revision
+    if rewritten and stored.find_era(engine.revision) == stored.find_era(known.revision):
+        return False
     if engine.started_ms != known.started_ms:
         return engine.started_ms < known.started_ms
     return engine.sequence < known.sequence
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -4,7 +4,8 @@
 None for an invalid object, and their callers continue with the others.
 """
 
-from typing import Any
+import ipaddress
+from typing import Annotated, Any
 
 import msgspec
 
@@ -14,10 +15,8 @@
 __all__ = [
     "decode_config",
     "decode_engine",
-    "decode_listing",
     "decode_peer",
     "decode_rollout",
-    "decode_stored",
     "encode_peer",
     "encode_rollout_status",
 ]
@@ -25,44 +24,19 @@
 MS_PER_S = 1000.0
 
 
-def _decode(body: bytes) -> Any:
-    try:
-        return msgspec.json.decode(body.decode("utf-8", "replace"))
-    except msgspec.MsgspecError:
-        return None
-
-
-def _convert_object(raw: Any, era: int) -> stored.StoredObject | None:
-    if not isinstance(raw, dict) or not isinstance(raw.get("metadata"), dict):
-        return None
-    meta = raw["metadata"]
-    name, revision = meta.get("name"), meta.get("revision")
-    if not isinstance(name, str) or not isinstance(revision, int):
-        return None
-    return stored.StoredObject(
-        name, stored.make_revision(era, revision), raw.get("spec"), raw.get("status")
-    )
-
+# Largest values that an entry may hold; a larger one is another writer's mistake.
+MAX_COUNT, MAX_SLOTS = 2**53, 100_000
+MAX_WARMUP_MS, MAX_PORT = 3_600_000.0, 65_535
 
-def decode_stored(body: bytes, era: int) -> stored.StoredObject | None:
-    """Decode one object from an answer of an era of the store; None if it is invalid."""
-    return _convert_object(_decode(body), era)
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
-def decode_listing(body: bytes, era: int) -> stored.Listing | None:
-    """Decode the response to a list or a watch in an era of the store; None if it is invalid."""
-    raw = _decode(body)
-    if not isinstance(raw, dict) or not isinstance(raw.get("at"), int):
-        return None
-    objects = [_convert_object(item, era) for item in raw.get("entries") or []]
-    changes = []
-    for item in raw.get("events") or []:
-        changed = _convert_object(item.get("object"), era) if isinstance(item, dict) else None
-        if changed is not None:
-            changes.append(stored.ObjectChange(changed, bool(item.get("deleted"))))
-    kept = tuple(item for item in objects if item is not None)
-    revision = stored.make_revision(era, raw["at"])
-    return stored.Listing(kept, tuple(changes), bool(raw.get("has-more")), revision)
+def _is_host(text: str) -> bool:
+    """Tell whether a text is an IP address; there is no name service."""
+    try:
+        return bool(ipaddress.IPv4Address(text))
+    except ValueError:
+        return False
 
 
 # The platform calls a service a backend, an organisation a tenant, and the models of a route its
@@ -199,10 +173,10 @@
     zone: str
     version: str
     state: str
-    batch_slots: int = 1
-    warmup_left_ms: float = 0.0
-    born: int = 0
-    sequence: int = 0
+    batch_slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 1
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMUP_MS)] = 0.0
+    born: _Count = 0
+    sequence: _Count = 0
 
 
 def decode_engine(item: stored.StoredObject) -> routing.Engine | None:
@@ -213,7 +187,9 @@
         address = (host, int(port))
     except (msgspec.ValidationError, ValueError):
         return None
-    if raw.state not in (names.STATE_READY, names.STATE_DRAINING) or not host:
+    if raw.state not in (names.STATE_READY, names.STATE_DRAINING):
+        return None
+    if not _is_host(host) or not 0 < address[1] <= MAX_PORT:
         return None
     return routing.Engine(
         id=item.name,
@@ -283,7 +259,7 @@
 
 
 class _Peer(msgspec.Struct):
-    heartbeat: int = msgspec.field(name="beat")
+    heartbeat: _Count = msgspec.field(name="beat")
     address: str = ""
     zone: str = ""
     link_mbps: float = 0.0
@@ -299,6 +275,8 @@
         raw = msgspec.convert(item.spec, _Peer)
     except msgspec.ValidationError:
         return None
+    if raw.address and not _is_host(raw.address):
+        return None
     return routing.Peer(
         name=item.name,
         address=raw.address,
--- a/berylrock/platform/store.py
+++ b/berylrock/platform/store.py
@@ -9,7 +9,7 @@
 
 from berylrock.adapters import http1
 from berylrock.core import errors, stored
-from berylrock.platform import decoding, names
+from berylrock.platform import names, storedobjects
 
 __all__ = ["HistoryGone", "Store"]
 
@@ -95,7 +95,7 @@
                 if not attempts:
                     raise
                 await asyncio.sleep(PAGE_PAUSE_S)
-        page = decoding.decode_listing(answer.body, answer.era)
+        page = storedobjects.decode_listing(answer.body, answer.era)
         if page is None:
             raise errors.StoreUnavailable(f"invalid list of {kind}; retried automatically")
         return page
@@ -121,7 +121,7 @@
         answer = await self._get(f"/objects/{kind}?{query}", wait_s)
         if answer.era != stored.find_era(revision):
             raise HistoryGone(f"the store was restored while {kind} was watched; list again")
-        found = decoding.decode_listing(answer.body, answer.era)
+        found = storedobjects.decode_listing(answer.body, answer.era)
         if found is None:
             raise errors.StoreUnavailable(
                 f"invalid watch response for {kind}; retried automatically"
@@ -132,7 +132,7 @@
         """Read one object; None if it does not exist."""
         try:
             answer = await self._get(self._path(kind, name), 0.0)
-            return decoding.decode_stored(answer.body, answer.era)
+            return storedobjects.decode_stored(answer.body, answer.era)
         except errors.NotFound:
             return None
 
@@ -190,7 +190,7 @@
 
     async def _write(self, method: str, target: str, body: Any) -> stored.StoredObject | None:
         answer = await self._call(method, target, body)
-        return decoding.decode_stored(answer.body, answer.era)
+        return storedobjects.decode_stored(answer.body, answer.era)
 
     async def _get(self, target: str, wait_s: float) -> _Answer:
         limit_s = wait_s + WATCH_MARGIN_S if wait_s else CALL_TIMEOUT_S
--- a/features/support/platform/store.py
+++ b/features/support/platform/store.py
@@ -48,6 +48,7 @@
       stale_revision: Revision of the answers to list requests that allow stale data, which then
         have no entries; None if such requests get current data.
       silent_kinds: Kinds of objects whose requests are not answered.
+      raw_texts: JSON texts, valid or not, that are sent in place of strings with their names.
       era: How often the store has come back from an older copy, and one.
       lost_pages: Number of the next requests for a page after the first that are reset.
       server: The listening server; None before ``start``.
@@ -61,6 +62,7 @@
         self.calls = []
         self.history_start = 0
         self.era = 1
+        self.raw_texts = {}
         self.page_size = 500
         self.stale_revision = None
         self.silent_kinds = set()
@@ -205,6 +207,8 @@
 
     async def _send_response(self, conn, status, answer):
         body = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        for name, text in self.raw_texts.items():
+            body = body.replace(json.dumps(name).encode(), text)
         headers = [("content-length", str(len(body))), ("content-type", "application/json")]
         headers.append(("store-era", str(self.era)))
         await conn.send(h11.Response(status_code=status, headers=headers))
