Give each gateway of the tests different ports

'A store that is hasty is not asked in a loop -- @1.2' failed once: the gateway never became ready. Its log says that it could not use TCP port 34065, which is also the port of its readiness page. The ports were drawn one after the other, each free again before the next, so two can be the same. They are drawn together now.

--- a/features/support/platform/gatewayprocess.py
+++ b/features/support/platform/gatewayprocess.py
@@ -1,5 +1,6 @@
 """A gateway process of the tests, with its addresses, settings file and log."""
 
+import contextlib
 import itertools
 import os
 import signal
@@ -41,11 +42,13 @@
     return f"127.0.{os.getpid() % 200 + 1}.{next(_host_numbers)}"
 
 
-def free_port(host):
-    """Return a port of an address on which no process listens."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+def free_ports(host, count):
+    """Return different ports of an address on which no process listens."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in socks]
 
 
 class GatewayProcess:
@@ -73,8 +76,8 @@
         apply_ms=2000,
     ):
         self.name, self.host = name, host
-        self.port, self.ready_port = free_port(host), free_port(host)
-        self.peer_port = peer_port or free_port(host)
+        self.port, self.ready_port, own_peer_port = free_ports(host, 3)
+        self.peer_port = peer_port or own_peer_port
         self.popen = None
         self._root = root
         self._path = root / f"{name}.toml"
