Refuse what might be cut by a planned stop, and answer what is cut

Now, once idle connections have been closed, a request that may not end within the grace time is refused as not run, by its usual time or else its deadline; other gateways serve. What runs at the end gets 504, or 503 if no engine got it; streams that have begun are broken off as before.

'Requests that exceed the grace time are cut off and logged' required an incomplete answer. That was wrong: it is replaced by two, which require a 504 that promises nothing, and a broken stream. New: 'Requests that come late in the grace time ...' (2).

--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -175,6 +175,11 @@
         """Whether the head of the response has been sent."""
         return self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def response_complete(self) -> bool:
+        """Whether a response has been sent to its end, and no other one has begun."""
+        return self._conn.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
     async def send(self, event: h11.Event) -> None:
         """Send a part of a response; wait while the caller reads slowly.
 
--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -8,6 +8,7 @@
 from berylrock.adapters import http1, listening
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import admitting, context, forwarding, pool, responding, streaming
+from berylrock.ops import timeouts
 from berylrock.platform import translating
 
 __all__ = ["Callers"]
@@ -21,6 +22,10 @@
 # Time left for the exit between the end of draining and the end of the grace period.
 EXIT_MARGIN_S = 0.35
 DRAIN_CHECK_S = 0.05
+# Time for the first request on a connection that is made after idle connections were closed.
+LATE_REQUEST_WAIT_S = 0.5
+# Other gateways serve while this one stops.
+STOP_RETRY_AFTER_S = 0.1
 
 
 class _BuffersFull(errors.BerylrockError):
@@ -37,6 +42,7 @@
         self._idle: set[asyncio.Task[None]] = set()
         self._server = listening.ConnectionServer(self._serve)
         self._closing = False
+        self._drain_until = float("inf")
 
     async def start(self) -> None:
         """Start listening for callers."""
@@ -53,19 +59,22 @@
           stopped_at: Time of the SIGTERM, on the event loop's clock.
         """
         loop = asyncio.get_running_loop()
-        drain_until = stopped_at + self._ctx.cfg.bounds.grace_s - EXIT_MARGIN_S
+        self._drain_until = stopped_at + self._ctx.cfg.bounds.grace_s - EXIT_MARGIN_S
         await responding.sleep_until(stopped_at + CLOSE_IDLE_AFTER_S)
         self._closing = True
         for task in list(self._idle):
             task.cancel()
         # A request that has just arrived is not yet being served, so open connections count.
-        while self._open and loop.time() < drain_until:
+        while self._open and loop.time() < self._drain_until:
             await asyncio.sleep(DRAIN_CHECK_S)
         self._server.stop_listening()
         await self._close_open_connections()
 
     async def _close_open_connections(self) -> None:
-        """Cancel requests that outlast the grace period; their callers see a closed connection."""
+        """Cancel requests that outlast the grace period.
+
+        Their callers are told that the outcome is unknown, unless a response has begun.
+        """
         tasks = list(self._open)
         if not tasks:
             return
@@ -89,7 +98,8 @@
             await self._serve_connection(conn)
         except asyncio.CancelledError:
             # Only a shutdown cancels the task of a connection.
-            conn.abort()
+            if not conn.response_complete:
+                conn.abort()
         except (OSError, h11.LocalProtocolError) as exc:
             self._ctx.log.write("caller_lost", error=repr(exc))
         finally:
@@ -97,23 +107,35 @@
             self._open.discard(task)
 
     async def _serve_connection(self, conn: http1.CallerConnection) -> None:
+        first = True
         while True:
-            if not await self._wait_for_request(conn):
+            if not await self._wait_for_request(conn, first):
                 return
+            first = False
             keep_open = await self._serve_request(conn)
             if not keep_open or not conn.reusable:
                 return
             conn.start_next_request()
 
-    async def _wait_for_request(self, conn: http1.CallerConnection) -> bool:
-        """Wait for the first byte of a request; False if the connection is to be closed."""
+    async def _wait_for_request(self, conn: http1.CallerConnection, first: bool) -> bool:
+        """Wait for the first byte of a request; False if the connection is to be closed.
+
+        Args:
+          conn: The connection.
+          first: Whether no request has come on it yet.
+
+        Returns:
+          Whether a request has begun to arrive.
+        """
         if conn.has_pipelined_data or conn.reader.has_data:
             return True
-        if self._closing:
+        if self._closing and not first:
             return False
         table = self._ctx.table
         limits = table.config.limits if table is not None else routing.Limits()
         idle_s = max(limits.idle_s, self._ctx.idle_limit_s) + CLOSE_MARGIN_S
+        if self._closing:
+            idle_s = LATE_REQUEST_WAIT_S
         task = asyncio.create_task(conn.reader.wait())
         self._idle.add(task)
         try:
@@ -218,6 +240,8 @@
         responder: responding.Responder,
     ) -> None:
         req = admitting.admit(self._ctx, head, body, received_at)
+        if not isinstance(req, admitting.Refused) and self._may_outlast_stop(req):
+            req = admitting.Refused(503, "stopping", STOP_RETRY_AFTER_S)
         if isinstance(req, admitting.Refused):
             await responder.refuse(req.status, req.reason, req.retry_after_s)
             self._log_refused(head, req)
@@ -233,6 +257,16 @@
             flow.release_body()
             self._log_done(flow, received_at)
 
+    def _may_outlast_stop(self, req: routing.Request) -> bool:
+        """Tell whether a request that came late in the grace time might be cut at its end."""
+        if not self._closing:
+            return False
+        now = asyncio.get_running_loop().time()
+        is_stream = req.route.kind == "stream"
+        usual_s = 0.0 if is_stream else self._ctx.baselines.usual_first_part_s(req.route.name, "")
+        needed_s = timeouts.needed_s(req.expires_at - now, usual_s)
+        return now + needed_s > self._drain_until
+
     async def _run(self, conn: http1.CallerConnection, flow: forwarding.Forwarding) -> None:
         """Run a request; cancel it if its caller disconnects and the request is repeatable."""
         work = asyncio.create_task(flow.run())
@@ -246,6 +280,12 @@
                 await asyncio.wait((work,))
             if not work.cancelled():
                 work.result()
+        except asyncio.CancelledError:
+            # Only the end of the grace time cancels this task.
+            work.cancel()
+            await asyncio.wait((work,))
+            await flow.end_stopped()
+            raise
         finally:
             disconnected.cancel()
             if not work.done():
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -101,6 +101,16 @@
             reason = self.dispatcher.last_reason or "no engine can take it"
             await self.responder.refuse(503, reason, self._retry_after_s())
 
+    async def end_stopped(self) -> None:
+        """Send a final answer, if none has begun, as the gateway stops before the request ends."""
+        if self.responder.begun:
+            return
+        self.responder.closes = True
+        if self.dispatcher.attempts_run:
+            await self.responder.refuse(504, "gateway stopped")
+        else:
+            await self.responder.refuse(503, "gateway stopped", RETRY_AFTER_S)
+
     def _retry_after_s(self) -> float:
         """Return when the caller should come back, spread over the time after that."""
         left_s = self._obstacle_left_s()
--- a/berylrock/ops/timeouts.py
+++ b/berylrock/ops/timeouts.py
@@ -10,6 +10,7 @@
 __all__ = [
     "ResponseTimeouts",
     "engine_wait_s",
+    "needed_s",
     "next_event_timeouts",
     "response_start_timeouts",
     "should_abandon",
@@ -27,6 +28,8 @@
 MIN_DEAD_S = 0.25
 # Longest wait for an engine that can take a request, as shares of the route's latency target.
 ENGINE_WAIT_SHARE, RETRY_ENGINE_WAIT_SHARE = 0.12, 0.5
+# Time that a request may take, as a multiple of the usual time.
+NEEDED_FACTOR = 4.0
 # Pending work at an engine, as in ``enginework``, that doubles the silence that is allowed.
 WORK_PER_SILENCE = 50_000.0
 
@@ -60,6 +63,19 @@
     return share * latency_target_s
 
 
+def needed_s(left_s: float, usual_s: float) -> float:
+    """Return the time to allow for a request while its gateway stops.
+
+    Args:
+      left_s: Seconds until the final answer is due.
+      usual_s: Usual time of such a request, in seconds; 0 if it is not known.
+
+    Returns:
+      The time in seconds.
+    """
+    return min(left_s, NEEDED_FACTOR * usual_s) if usual_s > 0.0 else left_s
+
+
 def wait_for_pause(
     pause_end: float, wait_s: float, usual_first_part_s: float, expires_at: float
 ) -> float:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -180,14 +180,38 @@
     And the gateway is no longer ready
     And the gateway exits within the grace time
 
-  @promise.shutdown
-  Scenario: Requests that exceed the grace time are cut off and logged
+  # Guards against callers that get no answer at all, and against a false "not run".
+  @promise.shutdown @promise.not_run
+  Scenario: Requests that exceed the grace time are ended with an unknown outcome and logged
     Given a gateway with a grace time of 3 s
     And each read takes 30 s
     When SIGTERM is sent while a read is running
-    Then its caller receives no complete answer
+    Then its caller is told that the outcome is unknown
     And the gateway has exited with status 0 and logged the closed connections
 
+  @promise.shutdown
+  Scenario: Streams that exceed the grace time are broken off
+    Given a gateway with a grace time of 3 s
+    And a chat that pauses for 30 s after each event
+    When SIGTERM is sent while a chat is running
+    Then its caller receives no complete stream
+
+  # Guards against requests that are taken late in the grace time, passed on, and cut at its end.
+  @promise.shutdown @promise.not_run
+  Scenario: Requests that come late in the grace time and might outlast it are refused
+    Given a gateway with a grace time of 5 s
+    And each read takes 30 s
+    When SIGTERM is sent while a read is running, and 2.5 s later an order, a read and a chat come
+    Then each of them is refused within 0.5 s, to come back within 1 s, and none has run
+    And the gateway exits within the grace time
+
+  @promise.shutdown
+  Scenario: Requests that come late in the grace time and end within it are answered
+    Given a gateway with a grace time of 5 s
+    And each read takes 4 s
+    When SIGTERM is sent while a read is running, and 2.5 s later a read that is waited 1 s for
+    Then that read is answered
+
   # Guards against streams that outlive the event loop, whose end is then a traceback.
   @promise.shutdown
   Scenario: A stop closes each kind of connection that is still open
--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -58,11 +58,6 @@
 
 def send_for(context, seconds, chats):
     """Send requests at a steady rate to the gateways in turn, and keep the answers."""
-    chat = (
-        ("X-Berylrock-Model", "*"),
-        ("X-Berylrock-Token-Usage", "100,20"),
-        ("X-Berylrock-Prefix-Hash", "aa:50,bb:50"),
-    )
 
     async def run():
         calls, until = [], time.monotonic() + seconds
@@ -70,7 +65,9 @@
             name = context.names[len(calls) % len(context.names)]
             calls.append(asyncio.ensure_future(send(context, name, "/read/a")))
             if chats:
-                calls.append(asyncio.ensure_future(send(context, name, "/chat/a", chat)))
+                calls.append(
+                    asyncio.ensure_future(send(context, name, "/chat/a", fleet.CHAT_HEADERS))
+                )
             await asyncio.sleep(SEND_INTERVAL_S)
         return await asyncio.gather(*calls)
 
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -15,6 +15,11 @@
 TIMEOUT_S = 15.0
 POLL_S = 0.02
 KEY, HOST = "key-one", "calls.example"
+CHAT_HEADERS = (
+    ("X-Berylrock-Model", "*"),
+    ("X-Berylrock-Token-Usage", "100,20"),
+    ("X-Berylrock-Prefix-Hash", "aa:50,bb:50"),
+)
 
 
 class Answer(NamedTuple):
@@ -270,12 +275,7 @@
 
     def send_chat(self, headers=()):
         """Send a request for a stream of the model service."""
-        lines = [
-            ("X-Berylrock-Model", "*"),
-            ("X-Berylrock-Token-Usage", "100,20"),
-            ("X-Berylrock-Prefix-Hash", "aa:50,bb:50"),
-        ]
-        return self.send("POST", "/chat/a", headers=[*lines, *headers], body=b"prompt")
+        return self.send("POST", "/chat/a", headers=[*CHAT_HEADERS, *headers], body=b"prompt")
 
     def runs(self, service):
         """Return all requests that the engines of a service began to run."""
