Take no success from an answer whose connection closes right after its head

It counts as broken off now: repeatable requests are tried elsewhere, others get 502. A legitimate empty body names its length. Heads cut at any earlier place were no success before either, through a whole gateway, with a length, in chunks, after an informational answer and with bare line feeds.

--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -13,7 +13,7 @@
 __all__ = ["Forwarding"]
 
 MAX_RESPONSE_BYTES = 8_388_608
-SERVER_ERROR = 500
+OK, NO_CONTENT, MULTIPLE_CHOICES, SERVER_ERROR = 200, 204, 300, 500
 # Time between two looks for an engine that is free, and while all of them want a pause or are at
 # their limits, in seconds.
 ENGINE_WAIT_STEP_S, PAUSE_WAIT_STEP_S = 0.015, 0.1
@@ -233,6 +233,17 @@
         self.ctx.buffers.release(self._held)
         self._held = 0
 
+    def _check_end(self, opened: attempt.OpenedResponse, body: bytearray) -> None:
+        """Raise ``ResponseBroken`` if a body that has ended may have been cut before its begin.
+
+        A connection that closes right after the head of a success, which names no length, looks the
+        same as an empty body.
+        """
+        head, method = opened.head, self.req.head.method
+        succeeded = OK <= head.status < MULTIPLE_CHOICES and head.status != NO_CONTENT
+        if succeeded and not head.framed and not body and method != "HEAD":
+            raise http1.ResponseBroken("response ended right after its head")
+
     async def _read_body(self, opened: attempt.OpenedResponse) -> bytes | None:
         """Read the body of a response; None if it is incomplete."""
         body = bytearray()
@@ -241,6 +252,7 @@
             while True:
                 part = await opened.attempt.next_part(None)
                 if isinstance(part, h11.EndOfMessage):
+                    self._check_end(opened, body)
                     break
                 if isinstance(part, h11.Data):
                     self._hold(len(part.data))
--- a/features/gateway_hostile.feature
+++ b/features/gateway_hostile.feature
@@ -112,3 +112,18 @@
     When a process at another address polls the relay in the name of a gateway
     Then the relay closes that connection and counts it
     And within 1 s every gateway answers reads
+
+  # Guards against a success that an engine has not given, made of the part of a head that has come.
+  @promise.answer
+  Scenario Outline: An answer that breaks off in its head, <framing>, is no success
+    Given a gateway whose engines break off answers <framing>
+    When a read, an order and a chat are sent for each place at which the head may end
+    Then none of them gets a complete success
+
+    Examples:
+      | framing                     |
+      | with a length               |
+      | in chunks                   |
+      | without a length            |
+      | after an informational one  |
+      | with bare line feeds        |
--- a/features/steps/gateway_hostile_steps.py
+++ b/features/steps/gateway_hostile_steps.py
@@ -204,3 +204,64 @@
     running.put("config", "main", fleet.make_config(2, keys=("key-two",)))
     running.wait(lambda: running.send().status == 401, "the old key is refused")
     assert time.monotonic() - begun < seconds
+
+
+ANSWER_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Berylrock-Attempt-Id: {id}\r\nX-Berylrock-Response-Signature: s\r\n"
+)
+BROKEN_HEADS = {
+    "with a length": ANSWER_HEAD + b"Content-Length: 20\r\n\r\n",
+    "in chunks": ANSWER_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+    "without a length": ANSWER_HEAD + b"Connection: close\r\n\r\n",
+    "after an informational one": b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    + ANSWER_HEAD
+    + b"Content-Length: 20\r\n\r\n",
+    "with bare line feeds": (ANSWER_HEAD + b"Content-Length: 20\r\n\r\n").replace(b"\r\n", b"\n"),
+}
+CUT_STEP_BYTES = 13
+
+
+@given("a gateway whose engines break off answers {framing}")
+def step_broken_heads(context, framing):
+    """Start a gateway whose only engines are scripted ones."""
+    scenario.start_gateway(context, plain=0, models=0)
+    running = context.gateway
+    context.head = BROKEN_HEADS[framing]
+    context.raw = rawengine.RawEngine(rawengine.Script(context.head, closes=True))
+    running.thread.run(context.raw.start())
+    for service in ("plain", "models"):
+        entry = {
+            "backend": service,
+            "address": f"127.0.0.1:{context.raw.port}",
+            "zone": "etna-a",
+            "version": "v1",
+            "batch-slots": 8,
+            "state": "ready",
+            "warmup-left-ms": 0,
+            "sequence": 1,
+        }
+        running.put("servers", f"{service}-raw", entry)
+        running.wait(lambda name=service: f"engine={name}-raw" in running.log(), "it is known")
+
+
+@when("a read, an order and a chat are sent for each place at which the head may end")
+def step_send_to_broken_heads(context):
+    """End the answer within the head at some places, and right after the head."""
+    running, context.results = context.gateway, []
+    places = [*range(0, len(context.head), CUT_STEP_BYTES), len(context.head)]
+    for place in places:
+        context.raw.script = rawengine.Script(context.head[:place], closes=True)
+        answers = [
+            running.send(),
+            running.send("POST", "/order/a", body=b"x"),
+            running.send_chat(),
+        ]
+        context.results += [(place, answer) for answer in answers]
+
+
+@then("none of them gets a complete success")
+def step_no_success(context):
+    """Check each answer; a refusal that says that nothing has run would be false as well."""
+    found = [(place, answer) for place, answer in context.results if 200 <= answer.status < 300]
+    assert not [item for item in found if item[1].whole], found[:3]
+    assert context.raw.requests > len(context.results) / 3, context.raw.requests
--- a/features/support/platform/rawengine.py
+++ b/features/support/platform/rawengine.py
@@ -16,6 +16,7 @@
       pause_s: Pause after each of these, in seconds.
       end: Bytes to send after ``count`` repetitions.
       count: Number of repetitions; None for no end.
+      closes: Whether the engine closes the connection after that, and not with a reset.
     """
 
     begin: bytes
@@ -23,6 +24,7 @@
     pause_s: float = 0.0
     end: bytes = b""
     count: int | None = None
+    closes: bool = False
 
 
 class RawEngine:
@@ -52,6 +54,8 @@
             head = await reader.readuntil(b"\r\n\r\n")
             self.requests += 1
             await self._answer(writer, head)
+            if self.script.closes:
+                writer.write_eof()
             await reader.read()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # The other side has closed the connection, or the scenario ends.
