--- a/features/steps/gateway_entry_steps.py
+++ b/features/steps/gateway_entry_steps.py
@@ -3,6 +3,7 @@
 import time
 
 from behave import then, when
+from support.platform import fleet
 
 # Names of raw texts in place of an entry's spec, or of one of its fields.
 SPEC, FIELD = "raw-spec", "raw-field"
@@ -27,22 +28,8 @@
     "a start in the far future": {"born": 10**30},
 }
 PROBE_INTERVAL_S = 0.03
-
-
-def make_entry(**fields):
-    """Return the entry of a plain engine at a port on which no one listens."""
-    entry = {
-        "backend": "plain",
-        "address": "127.0.0.1:1",
-        "zone": "etna-a",
-        "version": "v1",
-        "batch-slots": 8,
-        "state": "ready",
-        "warmup-left-ms": 0,
-        "sequence": 1,
-        "born": 1,
-    }
-    return entry | fields
+# An address on which no one listens.
+NOBODY = "127.0.0.1:1"
 
 
 @when("an engine's entry with {what} is written, and another engine is added after it")
@@ -51,9 +38,9 @@
     gateway = context.gateway
     if what in ODD_SPECS:
         gateway.store.raw_texts[FIELD] = ODD_SPECS[what]
-        entry = make_entry(more=FIELD)
+        entry = fleet.make_entry("plain", NOBODY, more=FIELD)
     else:
-        entry = make_entry(**ODD_FIELDS[what])
+        entry = fleet.make_entry("plain", NOBODY) | ODD_FIELDS[what]
     gateway.put("servers", "plain-00", entry)
     time.sleep(0.1)
     gateway.add_engine("plain-9", "plain")
--- a/features/steps/gateway_hostile_steps.py
+++ b/features/steps/gateway_hostile_steps.py
@@ -44,16 +44,7 @@
     running = context.gateway
     context.raw = rawengine.RawEngine(script)
     running.thread.run(context.raw.start())
-    entry = {
-        "backend": "models",
-        "address": f"127.0.0.1:{context.raw.port}",
-        "zone": "etna-a",
-        "version": "v1",
-        "batch-slots": 8,
-        "state": "ready",
-        "warmup-left-ms": 0,
-        "sequence": 1,
-    }
+    entry = fleet.make_entry("models", f"127.0.0.1:{context.raw.port}")
     running.put("servers", "models-raw", entry)
     running.wait(lambda: "engine=models-raw" in running.log(), "the gateway knows the engine")
     context.memory = read_memory(context)
@@ -230,16 +221,7 @@
     context.raw = rawengine.RawEngine(rawengine.Script(context.head, closes=True))
     running.thread.run(context.raw.start())
     for service in ("plain", "models"):
-        entry = {
-            "backend": service,
-            "address": f"127.0.0.1:{context.raw.port}",
-            "zone": "etna-a",
-            "version": "v1",
-            "batch-slots": 8,
-            "state": "ready",
-            "warmup-left-ms": 0,
-            "sequence": 1,
-        }
+        entry = fleet.make_entry(service, f"127.0.0.1:{context.raw.port}")
         running.put("servers", f"{service}-raw", entry)
         running.wait(lambda name=service: f"engine={name}-raw" in running.log(), "it is known")
 
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -98,6 +98,28 @@
     } | more
 
 
+def make_entry(service, address, **fields):
+    """Return an engine's entry in the form that engines write to the store.
+
+    Args:
+      service: Name of its service.
+      address: Its host and port.
+      **fields: Fields to add or to replace.
+    """
+    base = {
+        "backend": service,
+        "address": address,
+        "zone": "etna-a",
+        "version": "v1",
+        "batch-slots": 8,
+        "state": "ready",
+        "warmup-left-ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return base | fields
+
+
 class GatewayFleet:
     """A gateway with the stand-in store and the stand-in engines of a scenario.
 
@@ -194,17 +216,15 @@
             self.thread.run(item.start())
             self.engines[name] = item
             self.started_ms[name] = 1
-        entry = {
-            "backend": service,
-            "address": self.address_of(name),
-            "zone": zone,
-            "version": version,
-            "batch-slots": 8,
-            "state": state,
-            "warmup-left-ms": 0,
-            "sequence": sequence,
-            "born": self.started_ms[name],
-        }
+        entry = make_entry(
+            service,
+            self.address_of(name),
+            zone=zone,
+            version=version,
+            state=state,
+            sequence=sequence,
+            born=self.started_ms[name],
+        )
         self.put("servers", name, entry)
         return item
 
--- a/features/support/platform/soakmutants.py
+++ b/features/support/platform/soakmutants.py
@@ -11,14 +11,14 @@
 import sys
 import tempfile
 
-from support import mutants
+from support import mutantlist, mutants
 
 SEEDS = "1-16"
 GATEWAY = "daemons/gateway"
 
 
 def _remove(name, file, old, new, *more_edits):
-    return mutants.Mutant(name, file, old, new, "", more_edits)
+    return mutantlist.Mutant(name, file, old, new, "", more_edits)
 
 
 MECHANISMS = (
@@ -51,15 +51,17 @@
         f"{GATEWAY}/streaming.py",
         "self._step.model, self._sequence.last, self",
         "self._step.model, None, self",
-        mutants.Edit(
+        mutantlist.Edit(
             f"{GATEWAY}/streaming.py", "if not self._sequence.advance(event):", "if False:"
         ),
-        mutants.Edit(f"{GATEWAY}/streaming.py", "if self._sequence.has_gap(event):", "if False:"),
+        mutantlist.Edit(
+            f"{GATEWAY}/streaming.py", "if self._sequence.has_gap(event):", "if False:"
+        ),
     ),
     _remove(
         "a planned stop waits for what runs",
         f"{GATEWAY}/callers.py",
-        "while self._open and loop.time() < drain_until:",
+        "while self._open and loop.time() < self._drain_until:",
         "while False:",
     ),
     _remove(
@@ -87,7 +89,7 @@
     """Apply a mutant to a temporary copy and run the soak there.
 
     Args:
-      mutant: The ``mutants.Mutant``.
+      mutant: The ``mutantlist.Mutant``.
 
     Returns:
       The first breach that the soak reports; empty if it reports none.
