Forget a gateway whose record's removal is seen, also after a restore

For 8 s after the store has come back, gateways that are heard are kept although a list lacks their records. That also kept one whose removal a relay had passed on, for up to 45 s. The write of a rollout with its pause after a failure stood twice.

--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -71,11 +71,8 @@
         due = progress.lost_at + self._turn_s(rollout, f"{rollout.state} again")
         if now < max(due, progress.retry_at):
             return
-        outcome = await self._write(rollout)
-        if outcome:
-            progress.retry_at = freshness.boottime_clock() + progress.backoff.next_pause_s()
-        else:
-            progress.backoff.reset()
+        outcome = await self._try_write(rollout, progress)
+        if not outcome:
             progress.lost_at = None
         self._ctx.log.write(
             "rollout_written_again",
@@ -102,11 +99,7 @@
             stage=decision.stage,
             began_ms=rollout.began_ms or int((time.time() - progress.clock.age_s(now)) * MS_PER_S),
         )
-        outcome = await self._write(wanted)
-        if outcome:
-            progress.retry_at = freshness.boottime_clock() + progress.backoff.next_pause_s()
-        else:
-            progress.backoff.reset()
+        outcome = await self._try_write(wanted, progress)
         self._log(wanted, decision, verdict, outcome or "written")
 
     def _progress_of(self, rollout: routing.Rollout, now: float) -> _Progress:
@@ -231,6 +224,15 @@
         )
         return rollouts.make_schedule(rollout.duration_s, bounds.canary_share, margin_s)
 
+    async def _try_write(self, wanted: routing.Rollout, progress: _Progress) -> str:
+        """Write a rollout's status, with a pause after a failure; returns what failed, if any."""
+        outcome = await self._write(wanted)
+        if outcome:
+            progress.retry_at = freshness.boottime_clock() + progress.backoff.next_pause_s()
+        else:
+            progress.backoff.reset()
+        return outcome
+
     async def _write(self, wanted: routing.Rollout) -> str:
         """Write a rollout's status.
 
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -168,7 +168,7 @@
         gone = {item.stored.name for item in listing.changes if item.deleted}
         if full:
             gone = set(peers) - {item.name for item in listing.objects}
-        if now < self._ctx.peers_restored_at + RECORD_RETURN_S:
+        if full and now < self._ctx.peers_restored_at + RECORD_RETURN_S:
             # They live, and write their records again.
             gone -= {*self._ctx.gateways_heard(), self._ctx.cfg.name}
         for name in gone:
