Show by a test that a gateway hears of limits from others

The mutant that ignores such reports was not noticed: with three gateways and a limit of 0.5 a second all of them hold shares and learn from their own answers.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -43,3 +43,14 @@
     When each limit is in a gateway's record, and a gateway is killed and started again
     Then it has read the limit of each of those engines from the records
     And the others hear it, and no task of it has failed
+
+  # Guards against a gateway that gets no answers of an engine, and sends to it or spares it for good.
+  @failure.overload
+  Scenario: A gateway hears from another one that a limit begins and ends
+    Given a gateway with a stand-in store and stand-in engines
+    And another gateway "entry-2" is registered and gets datagrams
+    When it reports without an echo that the engine "plain-0" takes 0.5 requests a second
+    And it reports that the engine "plain-1" takes 1.5 requests a second
+    Then within 1 s the gateway knows that "plain-1" takes 1.5, by "entry-2", and no limit of "plain-0"
+    When it reports that the engine "plain-1" takes inf requests a second
+    Then within 1 s the gateway knows that "plain-1" takes inf, by "entry-2", and no limit of "plain-0"
--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -6,6 +6,8 @@
 from behave import given, then, when
 from support.platform import fleet, scenario
 
+from berylrock.daemons.gateway import gossipmessage
+
 SEND_INTERVAL_S = 0.03
 WINDOW_S = 4.0
 
@@ -194,3 +196,35 @@
     running.wait(lambda: "gateways_heard 2" in page(), "both others are heard")
     text = running.gateways[name].log()[context.log_before :]
     assert "task_failed" not in text and "Traceback" not in text, text[-3000:]
+
+
+@when('it reports that the engine "{name}" takes {per_s:g} requests a second')
+def step_report(context, name, per_s):
+    """Send a datagram that echoes the last timestamp."""
+    send_limit(context, name, per_s, context.peer.receive_next_mark())
+
+
+@when('it reports without an echo that the engine "{name}" takes {per_s:g} requests a second')
+def step_report_unproved(context, name, per_s):
+    """Send a datagram as a process that does not read those of the gateway could."""
+    send_limit(context, name, per_s, gossipmessage.NO_TIMESTAMP)
+
+
+def send_limit(context, name, per_s, mark):
+    """Send a report on one engine that was just told."""
+    report = gossipmessage.GossipMessage(context.peer.name, [], [], limits=[(name, per_s, 0)])
+    context.peer.send(report, mark)
+
+
+@then(
+    'within {seconds:g} s the gateway knows that "{name}" takes {per_s}, by "{gateway}", '
+    'and no limit of "{other}"'
+)
+def step_knows(context, seconds, name, per_s, gateway, other):
+    """Wait for the line in the log."""
+    begun, running = time.monotonic(), context.gateway
+    per_s = "inf" if per_s == "inf" else f"{float(per_s)}"
+    running.wait(lambda: f"engine_limited engine={name} per_s={per_s} " in running.log(), "known")
+    assert time.monotonic() - begun < seconds
+    lines = [line for line in running.log().splitlines() if "engine_limited" in line]
+    assert f"by={gateway}" in lines[-1] and not any(other in line for line in lines), lines
--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -330,7 +330,7 @@
         "daemons/gateway/gossip.py",
         "            self._record_limits(message, sent_at)\n",
         "",
-        "All gateways learn that a limit has ended",
+        "A gateway hears from another one that a limit",
     ),
     Mutant(
         "route-test",
--- a/features/support/platform/peergateway.py
+++ b/features/support/platform/peergateway.py
@@ -43,6 +43,16 @@
         data = self._sock.recv(MAX_BYTES)
         return msgspec.msgpack.decode(data, type=gossipmessage.GossipMessage).mark
 
+    def receive_next_mark(self):
+        """Wait for a datagram that was not sent yet, and return its timestamp."""
+        self._sock.settimeout(0.0)
+        try:
+            while True:
+                self._sock.recv(MAX_BYTES)
+        except BlockingIOError:
+            self._sock.settimeout(TIMEOUT_S)
+        return self.receive_mark()
+
     def send(self, message, repeated=gossipmessage.NO_TIMESTAMP):
         """Send a message that echoes a timestamp."""
         message.repeated = repeated
