--- /dev/null
+++ b/review/common/client.py
@@ -0,0 +1,73 @@
+"""A stand-in for a client: one request on a connection of its own, as PROTOCOL.md allows."""
+
+import asyncio
+import time
+
+from common import wire
+
+HOST = "ficu95.example"
+KEY = "n2ctnfzs989anu6wsjnb"
+
+
+class Call:
+    """One client attempt. Times are in seconds of ``time.monotonic``.
+
+    Attributes:
+      attempt: Its id.
+      kind: Name of the kind of request.
+      sent_at: When its last byte was sent.
+      closed_at: When the client closed the connection before it had an answer; None if it did not.
+      answered_at: When the answer was complete; None if there was none.
+      status: Status of the answer; 0 if there was none.
+      signed: Whether the answer bears an engine's signature.
+    """
+
+    def __init__(self, attempt, kind):
+        self.attempt = attempt
+        self.kind = kind
+        self.sent_at = 0.0
+        self.closed_at = None
+        self.answered_at = None
+        self.status = 0
+        self.signed = False
+
+
+async def send(address, call, method, target, deadline_ms, leaves_after_s=None, body=b""):
+    """Send a request and wait for its answer.
+
+    Args:
+      address: Host and port of the gateway.
+      call: The call; its fields are set.
+      method: HTTP method.
+      target: Path of the request.
+      deadline_ms: How long the client waits for the answer.
+      leaves_after_s: When the client gives up and closes its connection; None to wait.
+      body: Body of the request.
+    """
+    headers = [
+        ("Host", HOST),
+        ("X-Berylrock-Attempt-Id", call.attempt),
+        ("X-Berylrock-Deadline-Ms", str(deadline_ms)),
+        ("X-Api-Key", KEY),
+    ]
+    wait_s = deadline_ms / 1000 if leaves_after_s is None else leaves_after_s
+    writer = None
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(*address)
+        writer.write(wire.make_request(method, target, headers, body))
+        await writer.drain()
+        call.sent_at = time.monotonic()
+        async with asyncio.timeout(wait_s):
+            first, fields = await wire.read_head(reader)
+            await reader.readexactly(int(fields["content-length"]))
+        call.status, call.answered_at = int(first.split()[1]), time.monotonic()
+        call.signed = "x-berylrock-response-signature" in fields
+    except TimeoutError:
+        call.closed_at = time.monotonic()
+    except (EOFError, OSError, asyncio.IncompleteReadError):
+        # The connection ended without an answer; the status stays 0.
+        pass
+    finally:
+        if writer is not None:
+            writer.transport.abort()
