--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 from common import client, engine, gateway, record, store
 
 FOLDER = pathlib.Path(__file__).parent
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENGINES = 4
 CLIENTS = 30
 # Between two requests of a client; 60 a second in all.
@@ -74,7 +75,7 @@
                 return False
             clients = [asyncio.create_task(self.send_calls(n)) for n in range(CLIENTS)]
             await asyncio.sleep(CONTACT_S)
-            if record.has_trouble():
+            if HAS_TROUBLE:
                 await self.write_odd_entry()
             await asyncio.sleep(QUIET_S)
             for item in self.engines:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An engine leaves just after a waiting watch of the store was cut off."""
+"""An engine leaves while a machine's path to the store comes back."""
 
 import asyncio
 import os
@@ -6,19 +6,22 @@
 import tempfile
 import time
 
-from common import client, engine, gateway, record, store
+from common import client, engine, gateway, path, record, store
 
 FOLDER = pathlib.Path(__file__).parent
-ROUNDS = 3
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+ROUNDS = 9
 ENGINES = 3
 CALLS_PER_S = 40.0
 WORK_S = 0.09
 CONTACT_S, DRAIN_S = 3.0, 2.0
-# From the cut of the watch to the removal of the engine's entry.
-LEAVES_AFTER_S = 0.1
-# "and a little longer": from the end of drain-timeout-ms to the engine's exit.
-LINGER_S = 0.3
-SETTLE_S = 4.0
+# Length of the cut; the site file has up to 5.5 s.
+CUT_S = 4.5
+# From the end of the cut to the removal of the engine's entry.
+LEAVES_AFTER_S = 0.3
+# "and a little longer (at times many seconds)": from the end of drain-timeout-ms to the exit.
+LINGER_S = 1.0
+SETTLE_S = 1.2
 DEADLINE_MS = 3000
 
 
@@ -30,6 +33,7 @@
         self.folder = folder
         self.record = record.Record(FOLDER)
         self.store = store.Store()
+        self.path = None
         self.engines = []
         self.left = []
         self.calls = []
@@ -64,21 +68,27 @@
         await asyncio.gather(*self._tasks)
 
     async def play_round(self):
-        """Let an engine leave; with trouble, right after the watch of the engines was cut."""
-        leaver = next(item for item in self.engines if item not in [one for one, _ in self.left])
+        """Let an engine leave; with trouble, right after the machine was cut off from the store."""
+        leaver = next(item for item in self.engines if item not in [one for one, _, _ in self.left])
         await self.add_engine()
         await asyncio.sleep(SETTLE_S)
-        if record.has_trouble():
-            self.store.cut_watches("servers")
-            self.record.add("store cuts the waiting watch of the engines")
+        if HAS_TROUBLE:
+            self.path.cut()
+            self.record.add("the machine is cut off from the store")
+        await asyncio.sleep(CUT_S)
+        self.path.heal()
+        healed_at = time.monotonic()
+        if HAS_TROUBLE:
+            self.record.add("the machine reaches the store again")
         await asyncio.sleep(LEAVES_AFTER_S)
         await self.store.remove("servers", leaver.id)
-        self.left.append((leaver, time.monotonic()))
+        gone_at = time.monotonic()
+        # From then on the machine is in touch, and the engine has left for drain-timeout-ms.
+        self.left.append((leaver, max(gone_at + DRAIN_S, healed_at + CONTACT_S), gone_at))
         self.record.add(f"store has acknowledged that {leaver.id} is gone")
         await asyncio.sleep(DRAIN_S + LINGER_S)
         leaver.exit()
         self.record.add(f"{leaver.id} exits")
-        await asyncio.sleep(SETTLE_S)
 
     async def run(self):
         """Play all rounds; returns whether the gateway became ready."""
@@ -86,7 +96,9 @@
         await self.store.put("config", "main", gateway.make_config())
         for _ in range(ENGINES):
             await self.add_engine()
-        self.gateway = gateway.Gateway(self.folder, "edge-1", self.host, self.store.address)
+        self.path = path.Path(self.store.address)
+        await self.path.start(self.host)
+        self.gateway = gateway.Gateway(self.folder, "edge-1", self.host, self.path.address)
         self.gateway.start()
         try:
             if not await self.gateway.wait_ready():
@@ -105,18 +117,18 @@
         """Return the status of the case and its summary."""
         late, lost = [], []
         failed = {call.attempt for call in self.calls if call.status != 200}
-        for leaver, at in self.left:
-            bound = at + DRAIN_S
+        for leaver, bound, gone_at in self.left:
             found = [item for item in leaver.arrivals if item["at"] > bound]
             found = [item for item in found if item["outcome"] != "misdirected"]
-            late += [(leaver.id, item, item["at"] - at) for item in found]
+            late += [(leaver.id, item, item["at"] - gone_at) for item in found]
             lost += [item["attempt"] for item in found if item["attempt"] in failed]
         latest = max((seconds for _, _, seconds in late), default=0.0)
         answered = sum(call.status == 200 for call in self.calls)
         summary = [
             f"calls {len(self.calls)}, answered 200 {answered}, others {len(failed)}",
-            f"watches cut {self.store.cuts}, engines that left {len(self.left)}",
-            f"requests later than drain-timeout-ms at an engine that left {len(late)}, "
+            f"engines that left {len(self.left)}",
+            f"requests at an engine that left, later than drain-timeout-ms, from the machine "
+            f"in touch {len(late)}, "
             f"the latest {latest:.3f} s after the acknowledgement",
             f"of these without a good answer {len(lost)}: {' '.join(lost)}",
         ]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 from common import client, engine, gateway, record, store
 
 FOLDER = pathlib.Path(__file__).parent
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUNDS = 3
 ENGINES = 4
 ORDERS_PER_S = 40.0
@@ -66,7 +67,7 @@
 
     async def play_round(self):
         """Let all engines turn requests away for a while, and some clients give up."""
-        if record.has_trouble():
+        if HAS_TROUBLE:
             until = time.monotonic() + PAUSE_S
             for item in self.engines:
                 item.refuses_until = until
--- a/review/common/record.py
+++ b/review/common/record.py
@@ -1,20 +1,14 @@
 """Writes ``record.txt`` of a case, and ends the case with its exit status."""
 
-import os
 import pathlib
 import sys
 import time
 
-__all__ = ["BROKEN", "COULD_NOT_RUN", "HELD", "Record", "has_trouble"]
+__all__ = ["BROKEN", "COULD_NOT_RUN", "HELD", "Record"]
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
-def has_trouble():
-    """Tell whether the disruption is played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Lines of the record, with the seconds since its start."""
 
