Answer each request truthfully whatever goes wrong in it; take odd entries for no engine (LOST)

Cause: an entry without batch-slots, warmup-left-ms and sequence passed as an engine's, as these had defaults; its name has a dash outside Latin-1, so building the headers for it raised UnicodeEncodeError. Nothing handled that: the caller's task ended, and the engine got no failure and looked idle, so that it was preferred. Evidence: no log line named any such call, hence attempt_error and request_error first; with them, one line a call names the entry and the error.

Change, the class: an error of any kind in one attempt counts as its engine's failure, gives back the connection, slot and counts, and sends the request on, or ends it with 503 if nothing was written and 502 or a broken stream otherwise; an error outside the attempts ends in 503. Fields of an entry have no defaults, and names that no header can hold name no engine. Headers with digits that are no decimal ones, nan, inf or 5,000 digits are no numbers, from callers and from engines. Sidecar: an error in a run, or an event that is no JSON, is its last frame. Entry process: an unexpected error is an unknown outcome.

--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -44,6 +44,13 @@
 _decode_event = msgspec.json.Decoder(_Event).decode
 
 
+def _read_event(payload: bytes) -> _Event:
+    try:
+        return _decode_event(payload)
+    except msgspec.MsgspecError as exc:
+        raise interfaces.BackendLost(f"engine sent an event that cannot be read: {exc}") from exc
+
+
 def _make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
     """Create a socket with a small receive buffer.
 
@@ -77,11 +84,9 @@
     timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_SECONDS)
     try:
         async with session.get(url, timeout=timeout) as resp:
-            body = msgspec.json.decode(await resp.read(), type=dict[str, Any])
+            return msgspec.json.decode(await resp.read(), type=interfaces.LoadReport)
     except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as exc:
         raise _unreachable_error(exc) from exc
-    body["loaded"] = tuple(body.get("loaded", ()))
-    return interfaces.LoadReport(**body)
 
 
 class HttpEngine:
@@ -153,7 +158,7 @@
                         usage.prompt_tokens, usage.completion_tokens, usage.confidence
                     )
                     return
-                event = _decode_event(payload)
+                event = _read_event(payload)
                 usage = event.usage or usage
                 if bytes(event.choices) != b"[]":
                     yield interfaces.StreamChunk(bytes(event.choices))
--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CallerConnection",
+    "CallerGone",
     "ConnectFailed",
     "EngineConnection",
     "Reader",
@@ -42,6 +43,10 @@
     """The connection could not be made, so nothing was sent."""
 
 
+class CallerGone(errors.BerylrockError, ConnectionError):
+    """The caller's connection was closed, so that nothing more can be sent to it."""
+
+
 class ResponseBroken(errors.BerylrockError):
     """The peer closed or reset the connection, or sent an invalid HTTP response."""
 
@@ -187,12 +192,16 @@
           event: The h11 event to send.
 
         Raises:
-          OSError: The connection was closed.
+          CallerGone: The connection was closed.
         """
         data = self._conn.send(event)
-        if data:
+        if not data:
+            return
+        try:
             self._writer.write(data)
             await self._writer.drain()
+        except OSError as exc:
+            raise CallerGone(f"caller's connection was closed: {exc!r}") from exc
 
     def unsent_bytes(self) -> int:
         """Return the number of written bytes that the socket has not accepted yet."""
@@ -223,16 +232,18 @@
       keep_alive_s: Time in seconds for which the peer keeps an idle connection open; None if
         unknown.
       responses_read: Number of responses that were read completely.
+      request_written: Whether any part of the current request may have reached the peer.
     """
 
     def __init__(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        set_socket_options(writer.get_extra_info("socket"), ENGINE_TIMEOUT_MS)
         self._conn = h11.Connection(h11.CLIENT)
         self._writer = writer
         self.reader = Reader(stream)
         self.idle_since = asyncio.get_running_loop().time()
         self.keep_alive_s: float | None = None
         self.responses_read = 0
-        set_socket_options(writer.get_extra_info("socket"), ENGINE_TIMEOUT_MS)
+        self.request_written = False
 
     @classmethod
     async def open(cls, address: tuple[str, int], timeout_s: float) -> "EngineConnection":
@@ -251,10 +262,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 stream, writer = await asyncio.open_connection(*address)
+            return cls(stream, writer)
         except (OSError, TimeoutError, OverflowError, ValueError) as exc:
             # The last two are for addresses that no socket can have.
             raise ConnectFailed(f"cannot connect to {address[0]}:{address[1]}: {exc!r}") from exc
-        return cls(stream, writer)
 
     @property
     def usable(self) -> bool:
@@ -276,11 +287,13 @@
 
         Raises:
           ResponseBroken: The connection broke; the peer may have received part of the request.
+          h11.LocalProtocolError: The request is no valid HTTP; nothing was sent.
         """
         data = self._conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
         if body:
             data += self._conn.send(h11.Data(data=body)) or b""
         data += self._conn.send(h11.EndOfMessage()) or b""
+        self.request_written = True
         try:
             self._writer.write(data)
         except OSError as exc:
@@ -322,6 +335,7 @@
         self._conn.start_next_cycle()
         self.idle_since = asyncio.get_running_loop().time()
         self.responses_read += 1
+        self.request_written = False
         return True
 
     def close(self) -> None:
--- a/berylrock/core/errors.py
+++ b/berylrock/core/errors.py
@@ -1,5 +1,7 @@
 """Exception hierarchy; every error message tells how to fix the problem."""
 
+import pathlib
+import traceback
 from typing import NamedTuple
 
 __all__ = [
@@ -11,6 +13,7 @@
     "ProtocolError",
     "SettingsError",
     "StoreUnavailable",
+    "locate",
 ]
 
 
@@ -62,3 +65,11 @@
 
     def __str__(self) -> str:
         return f"{self.source}:{self.line}: {self.place}: {self.message}"
+
+
+def locate(exc: BaseException) -> str:
+    """Return the file and the line at which an unexpected error was raised, for a log line."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    if not frames:
+        return "unknown"
+    return f"{pathlib.Path(frames[-1].filename).name}:{frames[-1].lineno}"
--- a/berylrock/daemons/entry/callers.py
+++ b/berylrock/daemons/entry/callers.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from berylrock.core import data, metrics
+from berylrock.core import data, errors, metrics
 from berylrock.daemons.entry import calls, cascading, completions, context, outcome, request
 from berylrock.ops import budget
 
@@ -86,19 +86,34 @@
             meter.count(metrics.Metrics.ANSWERED)
             return response
         except outcome.RequestFailed as exc:
-            name = metrics.Metrics.NOT_RUN
-            if exc.outcome == outcome.UNKNOWN:
-                name = metrics.Metrics.OUTCOME_UNKNOWN
-            meter.count(name)
-            log.write(
-                "request_refused",
-                request=request_id,
-                outcome=exc.outcome,
-                reason=exc.reason,
-                detail=exc.detail,
-                address=req.remote,
-            )
-            return outcome.make_error_response(exc, request_id)
+            return self._refuse(req, request_id, exc)
+        except (web.HTTPException, ConnectionError):
+            raise
+        except Exception as exc:
+            log.write("request_error", request=request_id, error=repr(exc), at=errors.locate(exc))
+            if req.writer.output_size:
+                # A response that has begun must break off; aiohttp closes its connection.
+                raise
+            detail = f"internal error, the request may have run: {exc!r}; report it"
+            return self._refuse(req, request_id, outcome.Unknown(502, "internal_error", detail))
+
+    def _refuse(
+        self, req: web.Request, request_id: str, exc: outcome.RequestFailed
+    ) -> web.Response:
+        """Count and log a request that failed; returns the response that tells its outcome."""
+        name = metrics.Metrics.NOT_RUN
+        if exc.outcome == outcome.UNKNOWN:
+            name = metrics.Metrics.OUTCOME_UNKNOWN
+        self._ctx.runtime.meter.count(name)
+        self._ctx.runtime.log.write(
+            "request_refused",
+            request=request_id,
+            outcome=exc.outcome,
+            reason=exc.reason,
+            detail=exc.detail,
+            address=req.remote,
+        )
+        return outcome.make_error_response(exc, request_id)
 
     async def _read_body(self, req: web.Request) -> bytes:
         try:
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -147,6 +147,36 @@
         Returns:
           The opened response, or why there is none.
         """
+        try:
+            return await self._exchange(last_event, wait)
+        except Exception as exc:
+            self.log_error(exc)
+            if self.has_arrived:
+                return self._fail(f"internal error: {exc!r}")
+            self._record_failure()
+            return Failure(False, f"internal error: {exc!r}", arrived=False)
+
+    @property
+    def has_arrived(self) -> bool:
+        """Whether any part of the request may have reached the engine."""
+        return self.conn is not None and self.conn.request_written
+
+    def log_error(self, exc: Exception) -> None:
+        """Log an error for which there is no other handling; it counts as the engine's failure."""
+        self._ctx.meter.count("attempt_errors")
+        self._ctx.log.write(
+            "attempt_error",
+            request=self._req.head.id,
+            engine=self.state.engine.id,
+            arrived=self.has_arrived,
+            error=repr(exc),
+            at=errors.locate(exc),
+        )
+
+    async def _exchange(
+        self, last_event: int | None, wait: timeouts.ResponseTimeouts | None
+    ) -> "OpenedResponse | Failure":
+        """Send the request and read the head of the response; arguments are those of ``start``."""
         loop = asyncio.get_running_loop()
         engine, req = self.state.engine, self._req
         self.sent_at = loop.time()
@@ -292,9 +322,13 @@
         return Failure(False, reason, arrived=False, paused=True)
 
     def _fail(self, reason: str) -> Failure:
+        self._record_failure()
+        return Failure(True, reason)
+
+    def _record_failure(self) -> None:
+        """End the attempt as one that its engine failed."""
         self.state.health.record_failure(asyncio.get_running_loop().time())
         self.end()
-        return Failure(True, reason)
 
     def end(self) -> None:
         """End the attempt and close its connection, so that the engine cancels what still runs."""
--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -7,7 +7,14 @@
 
 from berylrock.adapters import http1, listening
 from berylrock.core import errors, routing
-from berylrock.daemons.gateway import admitting, context, forwarding, pool, responding, streaming
+from berylrock.daemons.gateway import (
+    admitting,
+    context,
+    forwarding,
+    pool,
+    responding,
+    streaming,
+)
 from berylrock.ops import timeouts
 from berylrock.platform import translating
 
@@ -112,7 +119,7 @@
             if not await self._wait_for_request(conn, first):
                 return
             first = False
-            keep_open = await self._serve_request(conn)
+            keep_open = await self._serve_guarded(conn)
             if not keep_open or not conn.reusable:
                 return
             conn.start_next_request()
@@ -150,6 +157,19 @@
             task.cancel()
         return conn.reader.has_data
 
+    async def _serve_guarded(self, conn: http1.CallerConnection) -> bool:
+        """Serve one request; one that cannot be read for an unexpected reason is refused.
+
+        Errors after that are handled in ``_respond``, so that no engine has got this request.
+        """
+        try:
+            return await self._serve_request(conn)
+        except (OSError, h11.LocalProtocolError):
+            raise
+        except Exception as exc:
+            self._log_error("", exc)
+            return await self._reject(conn, 503, f"internal error: {exc!r}")
+
     async def _serve_request(self, conn: http1.CallerConnection) -> bool:
         """Serve one request; returns whether the connection stays open."""
         limits = self._ctx.table.config.limits if self._ctx.table else routing.Limits()
@@ -253,6 +273,11 @@
         flow = flow_class(self._ctx, self._conns, req, responder)
         try:
             await self._run(conn, flow)
+        except http1.CallerGone:
+            raise
+        except Exception as exc:
+            self._log_error(head.id, exc)
+            await flow.end_failed(exc)
         finally:
             flow.release_body()
             self._log_done(flow, received_at)
@@ -292,6 +317,16 @@
                 work.cancel()
                 await asyncio.wait((work,))
 
+    def _log_error(self, request_id: str, exc: Exception) -> None:
+        """Log an error of one request for which there is no other handling."""
+        self._ctx.meter.count("request_errors")
+        self._ctx.log.write(
+            "request_error",
+            request=request_id,
+            error=repr(exc),
+            at=errors.locate(exc),
+        )
+
     def _log_refused(self, head: routing.RequestHead, refused: admitting.Refused) -> None:
         self._ctx.meter.count(f"refused_{refused.reason}")
         self._ctx.log.write(
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -101,6 +101,15 @@
             reason = self.dispatcher.last_reason or "no engine can take it"
             await self.responder.refuse(503, reason, self._retry_after_s())
 
+    async def end_failed(self, exc: Exception) -> None:
+        """Send a final answer, if none has begun, after an error without any other handling."""
+        if self.responder.begun:
+            self.responder.abort(f"internal error: {exc!r}")
+        elif self.dispatcher.attempts_run:
+            await self.responder.refuse(502, f"internal error: {exc!r}")
+        else:
+            await self.responder.refuse(503, f"internal error: {exc!r}", RETRY_AFTER_S)
+
     async def end_stopped(self) -> None:
         """Send a final answer, if none has begun, as the gateway stops before the request ends."""
         if self.responder.begun:
@@ -266,9 +275,15 @@
             self.record_result(opened, False, first_part_s)
             opened.attempt.end()
             return None
-        except BaseException:
+        except asyncio.CancelledError:
             opened.attempt.end()
             raise
+        except Exception as exc:
+            opened.attempt.log_error(exc)
+            self.dispatcher.last_reason = f"internal error: {exc!r}"
+            self.record_result(opened, False, first_part_s)
+            opened.attempt.end()
+            return None
         self.record_result(opened, opened.head.status < SERVER_ERROR, first_part_s)
         opened.attempt.end_complete(opened.head)
         return bytes(body)
--- a/berylrock/daemons/gateway/responding.py
+++ b/berylrock/daemons/gateway/responding.py
@@ -46,31 +46,34 @@
           reason: Why, for the log.
           retry_after_s: Seconds for the Retry-After header; None to leave it out.
         """
-        self.begun = True
-        self.outcome = f"{status} {reason}"
         headers = (
             translating.build_refusal_headers(self._id, retry_after_s) + self._connection_headers()
         )
-        await self._conn.send(h11.Response(status_code=status, headers=headers))
+        head = h11.Response(status_code=status, headers=headers)
+        self.begun = True
+        self.outcome = f"{status} {reason}"
+        await self._conn.send(head)
         await self._conn.send(h11.EndOfMessage())
 
     async def send_response(self, head: translating.ResponseHead, body: bytes) -> None:
         """Send an engine's complete response."""
-        self.begun = True
-        self.outcome = f"{head.status} whole"
         headers = list(head.headers) + self._connection_headers()
         headers.append((b"content-length", str(len(body)).encode()))
-        await self._conn.send(h11.Response(status_code=head.status, headers=headers))
+        first = h11.Response(status_code=head.status, headers=headers)
+        self.begun = True
+        self.outcome = f"{head.status} whole"
+        await self._conn.send(first)
         if body:
             await self._conn.send(h11.Data(data=body))
         await self._conn.send(h11.EndOfMessage())
 
     async def begin_stream(self, head: translating.ResponseHead) -> None:
         """Send the head of a stream, in chunked encoding, which marks the end of a complete one."""
-        self.begun = True
         headers = list(head.headers) + self._connection_headers()
         headers.append((b"transfer-encoding", b"chunked"))
-        await self._conn.send(h11.Response(status_code=head.status, headers=headers))
+        first = h11.Response(status_code=head.status, headers=headers)
+        self.begun = True
+        await self._conn.send(first)
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a part of the stream."""
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -77,11 +77,11 @@
         ctx = self._ctx
         changes: list[engineset.Change | None] = []
         if full:
-            decoded = [decoding.decode_engine(item) for item in listing.objects]
+            decoded = [self._read_engine(item) for item in listing.objects]
             changes += ctx.engines.replace(tuple(item for item in decoded if item), now)
             ctx.engines_known = True
         for changed in listing.changes:
-            engine = None if changed.deleted else decoding.decode_engine(changed.stored)
+            engine = None if changed.deleted else self._read_engine(changed.stored)
             if engine is not None:
                 changes.append(ctx.engines.put(engine, now))
             else:
@@ -90,6 +90,13 @@
             if change is not None:
                 ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
 
+    def _read_engine(self, item: stored.StoredObject) -> routing.Engine | None:
+        """Decode an engine's record; one that names no engine to use is logged."""
+        engine = decoding.decode_engine(item)
+        if engine is None:
+            self._ctx.log.write("engine_unreadable", engine=item.name)
+        return engine
+
     def _apply_rollouts(self, listing: stored.Listing, full: bool) -> None:
         ctx, recovery = self._ctx, self._ctx.rollout_recovery
         if full:
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -1,5 +1,7 @@
 """Relays event streams, with model cascades before the first event and resumption after a break."""
 
+import asyncio
+
 import h11
 
 from berylrock.adapters import http1
@@ -214,9 +216,13 @@
             if isinstance(exc, http1.ResponseBroken):
                 opened.attempt.record_broken()
             complete = False
-        except BaseException:
+        except (asyncio.CancelledError, http1.CallerGone):
             opened.attempt.end()
             raise
+        except Exception as exc:
+            opened.attempt.log_error(exc)
+            self.dispatcher.last_reason = f"internal error: {exc!r}"
+            complete = False
         self._finish_attempt(opened, complete)
         return complete
 
--- a/berylrock/daemons/sidecar/runner.py
+++ b/berylrock/daemons/sidecar/runner.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from berylrock.adapters import interfaces
-from berylrock.core import message, metrics
+from berylrock.core import errors, message, metrics
 from berylrock.daemons import runtime
 from berylrock.daemons.sidecar import backend
 from berylrock.loader import settings
@@ -93,7 +93,8 @@
     async def run(self, run: runs.Run) -> None:
         """Run one attempt to its end.
 
-        A refusal, a failure of the backend server and a cancellation become its last frame.
+        A refusal, a failure of the backend server, a cancellation and an unexpected error become
+        its last frame, so that the entry process does not wait for one that never comes.
         """
         start = run.start
         try:
@@ -113,6 +114,16 @@
         except asyncio.CancelledError:
             if run.end is None:
                 run.finish(self._end(run, message.Outcome.CANCELLED, "cancelled"))
+        except Exception as exc:
+            self._log.write(
+                "attempt_error",
+                request=start.request_id,
+                attempt=start.attempt,
+                error=repr(exc),
+                at=errors.locate(exc),
+            )
+            if run.end is None:
+                self._finish(run, self._end(run, message.Outcome.ERROR, f"internal error: {exc!r}"))
 
     def _refuse(self, run: runs.Run, refusal: admission.Refusal) -> None:
         self._meter.count(metrics.Metrics.REFUSED)
--- a/berylrock/ops/sse.py
+++ b/berylrock/ops/sse.py
@@ -10,6 +10,7 @@
 __all__ = ["Event", "EventSplitter", "EventSequence", "EventTooLong"]
 
 MAX_EVENT_BYTES = 65_536
+MAX_ID_DIGITS = 15
 
 
 class EventTooLong(errors.BerylrockError):
@@ -37,7 +38,7 @@
     for line in data.splitlines():
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
     return None
 
 
--- a/berylrock/platform/decoding.py
+++ b/berylrock/platform/decoding.py
@@ -173,14 +173,25 @@
     zone: str
     version: str
     state: str
-    batch_slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 1
-    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMUP_MS)] = 0.0
+    batch_slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)]
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMUP_MS)]
+    sequence: _Count
+    # Not all engines tell when they started.
     born: _Count = 0
-    sequence: _Count = 0
+
+
+def _is_header_value(text: str) -> bool:
+    """Tell whether a text can be sent as the value of a header, and arrives as it is."""
+    return text.isascii() and text.isprintable() and text == text.strip() != ""
 
 
 def decode_engine(item: stored.StoredObject) -> routing.Engine | None:
-    """Decode an engine's record; None if it is invalid or neither ready nor draining."""
+    """Decode an engine's record; None if it is invalid or neither ready nor draining.
+
+    An engine's id is sent to it with each request, so that it must be fit for a header.
+    """
+    if not _is_header_value(item.name):
+        return None
     try:
         raw = msgspec.convert(item.spec, _Engine, strict=True)
         host, _, port = raw.address.rpartition(":")
--- a/berylrock/platform/translating.py
+++ b/berylrock/platform/translating.py
@@ -19,6 +19,8 @@
 Headers = list[tuple[bytes, bytes]]
 
 MS_PER_S = 1000.0
+# Longer numbers than this are no counts or ids that anyone has.
+MAX_DIGITS = 15
 
 
 class ResponseHead(NamedTuple):
@@ -63,27 +65,35 @@
 
 
 def _number(fields: dict[bytes, bytes], name: bytes) -> float | None:
+    """Return the value of a header that holds a finite number; None if it holds none."""
     try:
-        return float(fields[name])
+        value = float(fields[name])
     except (KeyError, ValueError):
         return None
+    return value if math.isfinite(value) else None
+
+
+def _parse_count(text: str) -> int | None:
+    """Return a number that is written in plain digits; None for any other text."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
 
 
 def _parse_tokens(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
-    try:
-        return int(prompt or 0), int(output or 0)
-    except ValueError:
-        return 0, 0
+    counts = _parse_count(prompt.strip() or "0"), _parse_count(output.strip() or "0")
+    return (0, 0) if counts[0] is None or counts[1] is None else (counts[0], counts[1])
 
 
 def _parse_prompt_parts(text: str) -> tuple[routing.PromptPart, ...]:
     parts = []
     for item in text.split(",") if text else ():
-        name, _, size = item.strip().partition(":")
-        if not size.isdigit():
+        name, _, digits = item.strip().partition(":")
+        size = _parse_count(digits)
+        if size is None:
             return ()
-        parts.append(routing.PromptPart(name, int(size)))
+        parts.append(routing.PromptPart(name, size))
     return tuple(parts)
 
 
@@ -104,7 +114,6 @@
     fields = {name.lower(): value for name, value in items}
     prompt, output = _parse_tokens(_text(fields, names.TOKEN_FORECAST))
     deadline = _number(fields, names.DEADLINE_MS)
-    last_event = _text(fields, names.LAST_EVENT)
     dropped = names.SYSTEM_HEADERS | names.CONNECTION_HEADERS | _connection_options(fields)
     return routing.RequestHead(
         id=_text(fields, names.REQUEST_ID),
@@ -118,7 +127,7 @@
         output_tokens=output,
         parts=_parse_prompt_parts(_text(fields, names.PROMPT_PARTS)),
         session=_text(fields, names.SESSION),
-        last_event=int(last_event) if last_event.isdigit() else None,
+        last_event=_parse_count(_text(fields, names.LAST_EVENT)),
         headers=tuple(item for item in items if item[0].lower() not in dropped),
     )
 
@@ -130,18 +139,26 @@
     return frozenset(listed - kept)
 
 
+def _encode(text: str) -> bytes:
+    """Encode a text of the configuration for a header, as Latin-1 where that has its characters."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
+
+
 def build_engine_headers(req: routing.Request, options: routing.DispatchOptions) -> Headers:
     """Return the headers of a request that is forwarded to an engine."""
     headers: Headers = []
     for name, value in req.head.headers:
         if name.lower() == names.MODEL and options.model:
-            value = options.model.encode("latin-1")
+            value = _encode(options.model)
         headers.append((name, value))
     left_ms = max(1, int(options.deadline_s * MS_PER_S))
     headers.append((names.DEADLINE_MS, str(left_ms).encode()))
-    headers.append((names.TARGET_ENGINE, options.engine_id.encode("latin-1")))
+    headers.append((names.TARGET_ENGINE, _encode(options.engine_id)))
     if req.organisation is not None:
-        headers.append((names.ORGANISATION, req.organisation.encode("latin-1")))
+        headers.append((names.ORGANISATION, _encode(req.organisation)))
     if options.last_event is not None:
         headers.append((names.LAST_EVENT, str(options.last_event).encode()))
     if req.body or req.head.method not in ("GET", "HEAD", "DELETE"):
@@ -152,7 +169,7 @@
 def _parse_keep_alive(fields: dict[bytes, bytes]) -> float | None:
     for item in fields.get(b"keep-alive", b"").split(b","):
         name, _, value = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
+        if name.lower() == b"timeout" and value.isdigit() and len(value) <= MAX_DIGITS:
             return float(value)
     return None
 
--- a/features/gateway_entries.feature
+++ b/features/gateway_entries.feature
@@ -30,6 +30,13 @@
       | 10^30 slots                   |
       | a count below zero            |
       | a start in the far future     |
+      | no batch-slots                |
+      | no warmup-left-ms             |
+      | no sequence                   |
+      | no zone                       |
+      | a name outside Latin-1        |
+      | a name with a line break      |
+      | a name that ends in a space   |
 
   # Guards against an entry that replaced an engine's own, and keeps that engine in use.
   @promise.leaving
--- /dev/null
+++ b/features/process_errors.feature
@@ -0,0 +1,22 @@
+Feature: Unexpected errors while a sidecar or an entry process serves a request
+  Their own code runs here without processes.
+
+  # Guards against a run without a last frame, for which the entry process waits until its deadline (LOST).
+  @promise.answer
+  Scenario Outline: <what> ends the run with the outcome "<outcome>" and frees its place
+    Given a sidecar whose server is <what>
+    When it runs a request
+    Then the run ends within 2 s with the outcome "<outcome>"
+    And nothing runs there any more
+
+    Examples:
+      | what                                        | outcome |
+      | one that raises an error of no known kind   | error   |
+      | an engine that sends an event without sense | stalled |
+
+  # Guards against a caller that learns nothing of whether its request has run (LOST).
+  @promise.answer
+  Scenario: An error while the entry process serves a request ends it with an unknown outcome
+    Given an entry process in which an error is raised while a request is served
+    When a caller sends it a request
+    Then the caller gets status 502 and the outcome "unknown-not-repeated"
--- a/features/steps/gateway_entry_steps.py
+++ b/features/steps/gateway_entry_steps.py
@@ -27,6 +27,11 @@
     "a count below zero": {"sequence": -1},
     "a start in the far future": {"born": 10**30},
 }
+ODD_NAMES = {
+    "a name outside Latin-1": "plain \u2013 prova",
+    "a name with a line break": "plain\r\nX-Odd: 1",
+    "a name that ends in a space": "plain ",
+}
 PROBE_INTERVAL_S = 0.03
 # An address on which no one listens.
 NOBODY = "127.0.0.1:1"
@@ -36,12 +41,18 @@
 def step_odd_entry(context, what):
     """Write the entry between those of sound engines, by name and by time."""
     gateway = context.gateway
+    entry = fleet.make_entry("plain", NOBODY)
     if what in ODD_SPECS:
         gateway.store.raw_texts[FIELD] = ODD_SPECS[what]
-        entry = fleet.make_entry("plain", NOBODY, more=FIELD)
+        entry["more"] = FIELD
+    elif what.startswith("no "):
+        del entry[what.removeprefix("no ")]
+    elif what in ODD_NAMES:
+        # The address is that of an engine that would answer.
+        entry["address"] = gateway.address_of("plain-0")
     else:
-        entry = fleet.make_entry("plain", NOBODY) | ODD_FIELDS[what]
-    gateway.put("servers", "plain-00", entry)
+        entry |= ODD_FIELDS[what]
+    gateway.put("servers", ODD_NAMES.get(what, "plain-00"), entry)
     time.sleep(0.1)
     gateway.add_engine("plain-9", "plain")
 
@@ -78,6 +89,7 @@
 
 @then("no task of the gateway has failed")
 def step_no_task_failed(context):
-    """Check the log."""
+    """Check the log; requests that met an unexpected error count as well."""
     log = context.gateway.log()
+    assert "attempt_error" not in log and "request_error" not in log, log[-3000:]
     assert "task_failed" not in log and "Traceback" not in log, log[-3000:]
--- /dev/null
+++ b/features/steps/process_error_steps.py
@@ -0,0 +1,162 @@
+"""Steps on unexpected errors in a sidecar or an entry process, without processes."""
+
+import asyncio
+import types
+from unittest import mock
+
+from aiohttp import test_utils
+from behave import given, then, when
+from support.platform import rawengine
+
+from berylrock.adapters import backend, interfaces
+from berylrock.core import message, metrics
+from berylrock.daemons.entry import callers, outcome, request
+from berylrock.daemons.sidecar import runner
+from berylrock.ops import runs
+
+SENSELESS = rawengine.Script(
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {no event\n\n", closes=True
+)
+TIMEOUT_S = 2.0
+
+
+class RaisingEngine:
+    """An engine client with a fault of its own."""
+
+    async def run(self, start):
+        """Raise an error of a kind that no caller knows."""
+        raise ZeroDivisionError(f"raised for {start.attempt}")
+        yield
+
+    async def close(self):
+        """Close nothing."""
+
+
+class PollResult:
+    """State of a server that answers its polls."""
+
+    reachable = True
+    report = interfaces.LoadReport("one", ("m@v1",))
+
+    def __init__(self, server):
+        self.server = server
+        self.warmup = types.SimpleNamespace(pool=types.SimpleNamespace(kind="engine"))
+
+    async def has_crashed(self, incarnation):
+        """Tell that it has not."""
+        return False
+
+
+class Places:
+    """Admission that lets everything in and counts what runs."""
+
+    def __init__(self):
+        self.running = set()
+
+    async def acquire(self, start):
+        """Let it run."""
+        self.running.add(start.attempt)
+
+    def release(self, attempt):
+        """Take its place back."""
+        self.running.discard(attempt)
+
+
+def make_runner(server):
+    """Return a runner for a server, with nothing around it that matters here."""
+    log = types.SimpleNamespace(write=lambda name, **fields: None)
+    process = types.SimpleNamespace(
+        config=types.SimpleNamespace(version=1, doc=None),
+        strikes=None,
+        log=log,
+        meter=metrics.Metrics("", "test"),
+    )
+    cfg = types.SimpleNamespace(max_queue=1, stall_seconds=TIMEOUT_S, name="sidecar", pool="m")
+    made = runner.Runner(cfg, process, PollResult(server))
+    made.admission = Places()
+    made.check = lambda start: None
+    return made
+
+
+@given("a sidecar whose server is one that raises an error of no known kind")
+def step_raising(context):
+    """Keep how to make the server."""
+    context.make_server = lambda port: RaisingEngine()
+
+
+@given("a sidecar whose server is an engine that sends an event without sense")
+def step_senseless(context):
+    """Keep how to make the server."""
+    context.make_server = lambda port: backend.HttpEngine(f"http://127.0.0.1:{port}")
+
+
+@when("it runs a request")
+def step_run(context):
+    """Run it and keep what is left."""
+
+    async def play():
+        raw = rawengine.RawEngine(SENSELESS)
+        await raw.start()
+        context.runner = make_runner(context.make_server(raw.port))
+        start = message.Start(attempt="a1", target="m@v1", body=b"{}", timeout_ms=9000)
+        run = runs.Run(start, "entry", None, 0.0)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await context.runner.run(run)
+        finally:
+            await context.runner.backend.server.close()
+        return run.end
+
+    context.end = asyncio.run(play())
+
+
+@then('the run ends within 2 s with the outcome "{outcome}"')
+def step_ended(context, outcome):
+    """Check its last frame."""
+    assert isinstance(context.end, message.End), context.end
+    assert context.end.outcome == outcome, context.end
+
+
+@then("nothing runs there any more")
+def step_free(context):
+    """Check the places."""
+    assert not context.runner.admission.running
+
+
+@given("an entry process in which an error is raised while a request is served")
+def step_raising_entry(context):
+    """Keep what its handlers need."""
+    log = types.SimpleNamespace(write=lambda name, **fields: None)
+    runtime = types.SimpleNamespace(
+        config=types.SimpleNamespace(doc=object()), log=log, meter=metrics.Metrics("", "test")
+    )
+    budget = types.SimpleNamespace(record_request=lambda: None)
+    context.entry = types.SimpleNamespace(
+        runtime=runtime, budget=budget, cfg=None, server_links=None
+    )
+    organisation = types.SimpleNamespace(requests_per_second=0.0, name="one")
+    context.caller = request.Caller("r1", organisation, 1.0, 0, "")
+
+
+@when("a caller sends it a request")
+def step_send_to_entry(context):
+    """Pass a request to the handler, with a server function that raises."""
+
+    async def serve(req, doc, caller, body):
+        raise ZeroDivisionError("raised while the request is served")
+
+    async def play():
+        made = callers.Callers(context.entry, lambda *answer: None)
+        req = test_utils.make_mocked_request("POST", "/v1/chat/completions")
+        req.writer.output_size = 0
+        with mock.patch.object(request, "read_caller", return_value=context.caller):
+            return await made._handle(req, serve)
+
+    context.response = asyncio.run(play())
+
+
+@then('the caller gets status 502 and the outcome "unknown-not-repeated"')
+def step_unknown_outcome(context):
+    """Check the response."""
+    assert context.response.status == 502
+    assert context.response.headers[outcome.HEADER] == outcome.UNKNOWN
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -26,7 +26,7 @@
     def __init__(self, method, target, headers, body):
         self.method = method
         self.target = target
-        self.headers = {name.decode().lower(): value.decode() for name, value in headers}
+        self.headers = {name.decode().lower(): value.decode("latin-1") for name, value in headers}
         self.body = body
         self.cancelled = False
         self.started_at = time.monotonic()
@@ -83,6 +83,7 @@
       leaving: Whether each answer says that the engine is about to leave.
       limit: Requests per second that the engine takes from all gateways together, as each answer
         names it; empty for no limit.
+      more_headers: Pairs of names and values that each answer has besides.
       pause_s: Seconds from the next request for which the engine refuses all requests and asks for
         none until then; 0 for no pause.
       confidence: Value of the confidence header by model; models without an entry send none.
@@ -101,6 +102,7 @@
         self.arrivals = []
         self.leaving = False
         self.limit = ""
+        self.more_headers = []
         self.pause_s = 0.0
         self._paused_until = 0.0
         self._refused_id = ""
@@ -287,7 +289,7 @@
 
     def _notices(self):
         """Return the headers in which the engine speaks of itself."""
-        headers = [("Server-Leaving", "1")] if self.leaving else []
+        headers = [*self.more_headers, *([("Server-Leaving", "1")] if self.leaving else [])]
         return [*headers, ("Server-Limit", self.limit)] if self.limit else headers
 
     async def _send_response(self, conn, status, headers, body):
--- a/features/support/platform/fleet.py
+++ b/features/support/platform/fleet.py
@@ -132,6 +132,7 @@
       page_size: Most objects in one of the store's answers to a list request.
       lost_pages: Number of requests for later pages that the store resets.
       retry_extra: Number of repeats that the gateway allows beyond its ratio.
+      launcher: What Python runs as the gateway, before the path of its settings.
 
     Attributes:
       root: Folder for settings and logs.
@@ -154,6 +155,7 @@
         page_size=500,
         lost_pages=0,
         retry_extra=50,
+        launcher=("-m", "berylrock", "gateway"),
     ):
         self.root = pathlib.Path(root)
         self.host = gatewayprocess.new_host()
@@ -173,6 +175,7 @@
             revoke_ms,
             grace_s,
             retry_extra=retry_extra,
+            launcher=launcher,
         )
         self.port, self.ready_port = self.entry.port, self.entry.ready_port
         self.peer_port = self.entry.peer_port
@@ -332,6 +335,28 @@
         self.thread.stop()
 
 
+async def exchange_kept(address, requests):
+    """Send requests one after the other on one connection.
+
+    Args:
+      address: ``(host, port)`` to connect to.
+      requests: Method, path, headers as bytes, and body of each.
+
+    Returns:
+      The ``Answer`` of each; those after the end of the connection have status 0.
+    """
+    conn = await http1.EngineConnection.open(address, 2.0)
+    answers = []
+    try:
+        for method, path, headers, body in requests:
+            answers.append(await _exchange_on(conn, method, path, headers, body))
+            if not answers[-1].whole or not conn.reset_for_reuse():
+                break
+    finally:
+        conn.close()
+    return answers + [Answer(0, {}, b"", False)] * (len(requests) - len(answers))
+
+
 async def exchange(address, method, path, headers, body):
     """Send one request on a new connection, with a client that rejects malformed responses.
 
@@ -349,10 +374,18 @@
         conn = await http1.EngineConnection.open(address, 2.0)
     except http1.ConnectFailed:
         return Answer(0, {}, b"", False)
+    raw = [(name.encode(), value.encode()) for name, value in headers]
+    try:
+        return await _exchange_on(conn, method, path, raw, body)
+    finally:
+        conn.close()
+
+
+async def _exchange_on(conn, method, path, headers, body):
+    """Send one request on an open connection; headers are pairs of bytes."""
     data, status, fields = b"", 0, {}
     try:
-        raw = [(name.encode(), value.encode()) for name, value in headers]
-        await conn.send(method, path, raw, body)
+        await conn.send(method, path, headers, body)
         while True:
             event = await conn.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -364,5 +397,3 @@
                 data += event.data
     except http1.ResponseBroken:
         return Answer(status, fields, data, False)
-    finally:
-        conn.close()
--- a/features/support/platform/gatewayprocess.py
+++ b/features/support/platform/gatewayprocess.py
@@ -61,6 +61,9 @@
       ready_port: Port of the readiness page.
       peer_port: Port for datagrams from other gateways.
       popen: The process; None before its start.
+
+    Args:
+      launcher: What Python runs, before the path of the settings.
     """
 
     def __init__(
@@ -74,11 +77,13 @@
         peer_port=None,
         retry_extra=50,
         apply_ms=2000,
+        launcher=("-m", "berylrock", "gateway"),
     ):
         self.name, self.host = name, host
         self.port, self.ready_port, own_peer_port = free_ports(host, 3)
         self.peer_port = peer_port or own_peer_port
         self.popen = None
+        self._launcher = launcher
         self._root = root
         self._path = root / f"{name}.toml"
         self._path.write_text(
@@ -98,7 +103,7 @@
 
     def start(self):
         """Start the process, also after an earlier one has ended."""
-        command = [sys.executable, "-m", "berylrock", "gateway", str(self._path)]
+        command = [sys.executable, *self._launcher, str(self._path)]
         with open(self._root / f"{self.name}.log", "ab") as log:
             self.popen = subprocess.Popen(command, stdout=log, stderr=log)
 
