--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -97,6 +97,11 @@
         self.ended.set()
         self._state_changed.set()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the peer has closed the connection, as far as that has arrived."""
+        return self.ended.is_set() or self._stream.at_eof()
+
     @property
     def has_data(self) -> bool:
         """Whether received bytes are waiting to be read."""
--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -293,13 +293,18 @@
         return now + needed_s > self._drain_until
 
     async def _run(self, conn: http1.CallerConnection, flow: forwarding.Forwarding) -> None:
-        """Run a request; cancel it if its caller disconnects and the request is repeatable."""
+        """Run a request, unless its caller has left; let it leave with its caller."""
+        if conn.reader.has_ended:
+            self._record_left(flow)
+            flow.responder.abort("caller disconnected")
+            return
         work = asyncio.create_task(flow.run())
         disconnected = asyncio.create_task(conn.reader.ended.wait())
         try:
             await asyncio.wait((work, disconnected), return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
-                if routing.is_repeatable(flow.req.route):
+                self._record_left(flow)
+                if flow.may_be_cancelled:
                     work.cancel()
                     flow.responder.abort("caller disconnected")
                 await asyncio.wait((work,))
@@ -317,6 +322,20 @@
                 work.cancel()
                 await asyncio.wait((work,))
 
+    def _record_left(self, flow: forwarding.Forwarding) -> None:
+        """Record that a request's caller has left; it is sent to no further engine."""
+        dispatcher = flow.dispatcher
+        dispatcher.caller_left = True
+        self._ctx.meter.count("callers_left")
+        self._ctx.log.write(
+            "caller_left",
+            request=flow.req.head.id,
+            at_engine=dispatcher.is_at_engine,
+            cancelled=flow.may_be_cancelled,
+            sends=dispatcher.attempts_sent,
+            last_failure=dispatcher.last_reason,
+        )
+
     def _log_error(self, request_id: str, exc: Exception) -> None:
         """Log an error of one request for which there is no other handling."""
         self._ctx.meter.count("request_errors")
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -52,6 +52,17 @@
         """Time on the event loop's clock, in seconds."""
         return asyncio.get_running_loop().time()
 
+    @property
+    def may_be_cancelled(self) -> bool:
+        """Whether the request may be dropped once its caller has left.
+
+        One that may not be repeated and that an engine may have got goes on, so that its outcome is
+        known. A stream is of no use without its caller.
+        """
+        route = self.req.route
+        is_kept = not routing.is_repeatable(route) and route.kind != "stream"
+        return not (is_kept and self.dispatcher.is_at_engine)
+
     async def find_engine(self, model: str) -> enginestate.EngineState | None:
         """Choose an engine, waiting briefly for one that can take the request; None if none can.
 
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -37,6 +37,7 @@
       attempts_arrived: Attempts that may have reached an engine; all but the first are retries.
       version: Version that the request is to run on; None before it is chosen.
       last_reason: Why the last attempt failed; empty if none has.
+      caller_left: Whether the caller has disconnected, so that no further attempt is made.
     """
 
     def __init__(
@@ -49,19 +50,29 @@
         self.attempts_arrived = 0
         self.last_reason = ""
         self.version: str | None = None
+        self.caller_left = False
+        self._current: attempt.Attempt | None = None
         self._ctx = ctx
         self._conns = conns
         self._req = req
 
     @property
     def attempts_left(self) -> int:
-        """Number of further attempts that may run the request; 0 once it is known to crash."""
-        if self.crashes_engines:
+        """Number of further attempts that may run the request.
+
+        None is left once the request is known to crash engines, or its caller has left.
+        """
+        if self.caller_left or self.crashes_engines:
             return 0
         if not routing.is_repeatable(self._req.route):
             return 0 if self.attempts_run else 1
         return self._req.route.max_attempts - self.attempts_run
 
+    @property
+    def is_at_engine(self) -> bool:
+        """Whether an engine may have got the request, and has not failed or refused it."""
+        return self._current is not None and self._current.has_arrived
+
     @property
     def crashes_engines(self) -> bool:
         """Whether the request must not be sent, or not again, because it crashes engines."""
@@ -226,7 +237,7 @@
         """
         self.attempts_sent += 1
         self.record_session()
-        current = attempt.Attempt(
+        current = self._current = attempt.Attempt(
             self._ctx, self._conns, self._req, state, model, lambda: self.can_fail_over(model)
         )
         self._log_sent(state, model, last_event)
@@ -241,6 +252,7 @@
             current.end()
             raise
         if isinstance(result, attempt.Failure):
+            self._current = None
             self.attempts_run -= not result.may_have_run
             self.attempts_arrived -= not result.arrived
             self.last_reason = result.reason
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -90,6 +90,7 @@
       restart_delay_s: Time for which the engine does not listen after a crash, in seconds.
       event_count: Number of events in a complete stream.
       event_interval_s: Pause after each event, in seconds.
+      refusal_delay_s: Time from a request to its refusal for the fault ``full``, in seconds.
       response_delay_s: Time from the whole request to its response, in seconds.
       server: The listening server; None before ``start``.
       port: Port on which the engine listens; 0 before ``start``.
@@ -111,6 +112,7 @@
         self.event_count = 6
         self.event_interval_s = 0.005
         self.response_delay_s = 0.0
+        self.refusal_delay_s = 0.0
         self.server = None
         self.port = 0
 
@@ -159,6 +161,7 @@
             return False
         if fault == "full":
             self._refused_id = run.headers[ATTEMPT_ID_HEADER]
+            await asyncio.sleep(self.refusal_delay_s)
             return await self._send_refusal(conn, self._refused_id)
         self.runs.append(run)
         if fault.startswith("refusal again"):
