--- a/berylrock/platform/translating.py
+++ b/berylrock/platform/translating.py
@@ -65,12 +65,17 @@
 
 
 def _number(fields: dict[bytes, bytes], name: bytes) -> float | None:
-    """Return the value of a header that holds a finite number; None if it holds none."""
+    """Return the value of a header that holds a number, also an infinite one; None if not."""
     try:
-        value = float(fields[name])
+        return float(fields[name])
     except (KeyError, ValueError):
         return None
-    return value if math.isfinite(value) else None
+
+
+def _finite_number(fields: dict[bytes, bytes], name: bytes) -> float | None:
+    """Return the value of a header that holds a finite number; None if it holds none."""
+    value = _number(fields, name)
+    return value if value is not None and math.isfinite(value) else None
 
 
 def _parse_count(text: str) -> int | None:
@@ -113,7 +118,7 @@
     items = list(raw)
     fields = {name.lower(): value for name, value in items}
     prompt, output = _parse_tokens(_text(fields, names.TOKEN_FORECAST))
-    deadline = _number(fields, names.DEADLINE_MS)
+    deadline = _finite_number(fields, names.DEADLINE_MS)
     dropped = names.SYSTEM_HEADERS | names.CONNECTION_HEADERS | _connection_options(fields)
     return routing.RequestHead(
         id=_text(fields, names.REQUEST_ID),
@@ -185,8 +190,8 @@
     """Read the head of an engine's response."""
     items = list(raw)
     fields = {name.lower(): value for name, value in items}
-    confidence = _number(fields, names.CONFIDENCE)
-    cold_ms = _number(fields, names.WARMUP_MS)
+    confidence = _finite_number(fields, names.CONFIDENCE)
+    cold_ms = _finite_number(fields, names.WARMUP_MS)
     dropped = names.CONNECTION_HEADERS | _connection_options(fields)
     return ResponseHead(
         status=status,
