Keep engines without a record only if the store can have lost it (DRAIN)

Cause: any failed call of this gateway counted as an outage of the store, in which records expire of engines that live; engines without a record were kept for 2.3 to 2.85 s after this gateway noticed the store again, and late failures of other watches renewed that. Evidence: engine_changed lapsed right after store_regained, removed 2.3 to 2.85 s later. Ruled out: a removal that is learned of late (0.1 to 2 s of 3.0 allowed).

Change: the gateways know from each other when any of them last heard the store. Records can only have expired in a gap of 1.5 heartbeat intervals or more in that. After one, a missing record counts as lost only if most are missing, or others were written again without a change, and until 2 s after the last failed call at the latest. Gateways behind a relay judge by the times at which the relay heard the store; a relay's answer no longer carries its own outage.

One check changed: the scenario of records that expire recorded one failed call, 4 s before the store's return; calls fail about each second, so it records them until then, and is kept as strict.

--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -86,6 +86,7 @@
       max_fds: Maximum number of file descriptors.
       memory_mb: Memory limit of the process, in MB; 0 if not given.
       link_mbps: Bandwidth of the VM's link, in Mbit/s; 0 if not given.
+      heartbeat_s: Interval in which engines renew their records in the store.
       bounds: The limits that the gateway must keep.
     """
 
@@ -100,6 +101,7 @@
     max_fds: int
     memory_mb: float
     link_mbps: float
+    heartbeat_s: float
     bounds: Bounds
 
 
--- a/berylrock/daemons/gateway/confirming.py
+++ b/berylrock/daemons/gateway/confirming.py
@@ -35,10 +35,9 @@
     def _max_age_s(self) -> float:
         ctx = self._ctx
         limit_s = relays.max_view_age_s(ctx.cfg.bounds)
-        now = asyncio.get_running_loop().time()
         if limit_s is not None and ctx.relay:
-            return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.outage(now).lost)
-        relayed_ago_s = now - ctx.relayed_at
+            return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.gaps.lost)
+        relayed_ago_s = asyncio.get_running_loop().time() - ctx.relayed_at
         if limit_s is not None and relayed_ago_s < SERVING_LIFETIME_S:
             return SERVING_AGE_SHARE * limit_s
         position = ctx.position_by_datagram()
@@ -60,8 +59,8 @@
             self._ctx.log.write("not_confirmed", kind=self._kind_watch.kind, error=str(exc))
             await asyncio.sleep(FAILURE_BACKOFF_S)
             return
+        self._ctx.record_store_answer()
         watching.apply_listing(self._ctx, self._kind_watch, listing, True)
         view.freshness.record(sent_at)
-        self._ctx.engines.record_store_back(asyncio.get_running_loop().time())
         if self._ctx.relay:
             self._ctx.watch_store("view too old")
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -26,6 +26,7 @@
     rollouts,
     routetable,
     sessionversions,
+    storegaps,
     strikes,
     views,
 )
@@ -118,7 +119,7 @@
         self.watching_store = asyncio.Event()
         self.watching_store.set()
         self.relayed_at = float("-inf")
-        self.engines = engineset.EngineSet()
+        self.engines = engineset.EngineSet(cfg.heartbeat_s)
         self.engines_known = False
         self.evacuations = evacuations.EvacuatedZones()
         self.peers_asked = False
@@ -256,6 +257,30 @@
         """Return the names of the other gateways that were heard by datagram lately."""
         return self.load_view.live_gateways(asyncio.get_running_loop().time())
 
+    def record_store_answer(self) -> None:
+        """Record that the store has answered a call of this gateway, before its answer is used."""
+        self._log_gap(self.engines.gaps.record_answer(asyncio.get_running_loop().time()))
+
+    def record_store_heard(self, confirmed_at: float) -> None:
+        """Record that the store has answered another gateway.
+
+        Args:
+          confirmed_at: Time of the answer, or an earlier one, by ``freshness.boottime_clock``.
+        """
+        age_s = max(0.0, freshness.boottime_clock() - confirmed_at)
+        now = asyncio.get_running_loop().time()
+        self._log_gap(self.engines.gaps.record_heard(now - age_s))
+
+    def _log_gap(self, gap: storegaps.Gap | None) -> None:
+        if gap is None:
+            return
+        self.meter.count("store_gaps")
+        self.log.write(
+            "store_gap",
+            seconds=round(gap.ended_at - gap.began_at, 2),
+            grace_s=round(gap.grace_until - gap.ended_at, 2),
+        )
+
     def record_restored(self, kind: str, revision: int) -> None:
         """Record that the store has come back from an older copy, before a kind is updated.
 
--- a/berylrock/daemons/gateway/following.py
+++ b/berylrock/daemons/gateway/following.py
@@ -5,7 +5,7 @@
 
 from berylrock.core import errors, routing, stored
 from berylrock.daemons.gateway import context, relay, watching
-from berylrock.ops import engineset, freshness, mirrors, relays, views
+from berylrock.ops import freshness, mirrors, relays, views
 from berylrock.platform import names
 
 __all__ = ["Follower"]
@@ -156,17 +156,20 @@
         return view.digest if view is not None else views.NO_DIGEST
 
     def _apply(self, answer: relay.PollAnswer) -> bool:
-        ctx, now = self._ctx, asyncio.get_running_loop().time()
-        back_s = answer.store_back_ms / MS_PER_S if answer.store_back_ms >= 0 else None
-        own_lost = ctx.engines.outage(now).lost
+        ctx = self._ctx
+        own_lost = ctx.engines.gaps.lost
         if relays.is_refused_alone(answer.store_lost, not ctx.relay, own_lost):
             raise RelayFailed("it has lost the store, which answers this gateway")
         if ctx.relay:
             # A gateway that watches the store knows better than a relay whether it answers.
-            ctx.engines.record_outage(engineset.StoreOutage(answer.store_lost, back_s), now)
+            ctx.engines.gaps.lost = answer.store_lost
+        sent_at = answer.mark.at_ms / MS_PER_S
+        for found in answer.kinds:
+            if found.report.age_ms >= 0:
+                ctx.record_store_heard(sent_at - found.report.age_ms / MS_PER_S)
         for kind, found in zip(names.RELAYED_KINDS, answer.kinds, strict=False):
             self._apply_kind(kind, found)
-        sent_at, clock = answer.mark.at_ms / MS_PER_S, freshness.boottime_clock()
+        clock = freshness.boottime_clock()
         for kind, found in zip(names.WATCHED_KINDS, answer.kinds, strict=False):
             ctx.views[kind].receive_report(found.report, sent_at, clock)
         reports = {
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -156,6 +156,8 @@
         now = freshness.boottime_clock()
         for kind, report in zip(sorted(self._ctx.views), message.words, strict=False):
             self._ctx.views[kind].receive_report(report, sent_at, now)
+            if report.age_ms >= 0:
+                self._ctx.record_store_heard(sent_at - report.age_ms / MS_PER_S)
 
     def _timestamp(self) -> views.SendTimestamp:
         return views.SendTimestamp(self._process, int(freshness.boottime_clock() * MS_PER_S))
--- a/berylrock/daemons/gateway/relay.py
+++ b/berylrock/daemons/gateway/relay.py
@@ -92,13 +92,11 @@
     Attributes:
       mark: The time of the poll, as sent.
       store_lost: Whether the relay gets no answers from the store.
-      store_back_ms: Milliseconds since an outage of the store ended; negative if there was none.
       kinds: State of each kind, in order of ``names.RELAYED_KINDS``.
     """
 
     mark: views.SendTimestamp
     store_lost: bool
-    store_back_ms: int
     kinds: list[KindAnswer]
 
 
@@ -173,14 +171,11 @@
 
     def answer(self, poll: Poll) -> PollAnswer:
         """Return the answer to a poll; kinds that the poll does not name are left out."""
-        now = asyncio.get_running_loop().time()
-        outage = self._ctx.engines.outage(now)
-        back_ms = -1 if outage.ended_ago_s is None else int(outage.ended_ago_s * 1000.0)
         kinds = [
             self._answer_kind(kind, position)
             for kind, position in zip(names.RELAYED_KINDS, poll.kinds, strict=False)
         ]
-        return PollAnswer(poll.mark, outage.lost, back_ms, kinds)
+        return PollAnswer(poll.mark, self._ctx.engines.gaps.lost, kinds)
 
     def _answer_kind(self, kind: str, position: KindPosition) -> KindAnswer:
         view = self._ctx.views.get(kind)
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -80,16 +80,28 @@
             decoded = [self._read_engine(item) for item in listing.objects]
             changes += ctx.engines.replace(tuple(item for item in decoded if item), now)
             ctx.engines_known = True
-        for changed in listing.changes:
-            engine = None if changed.deleted else self._read_engine(changed.stored)
-            if engine is not None:
-                changes.append(ctx.engines.put(engine, now))
-            else:
-                changes.append(ctx.engines.remove(changed.stored.name, now))
+        changes += self._change_engines(listing.changes, now)
         for change in changes:
             if change is not None:
                 ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
 
+    def _change_engines(
+        self, changed: tuple[stored.ObjectChange, ...], now: float
+    ) -> list[engineset.Change | None]:
+        """Apply changes in their order; removals that follow each other count as one event."""
+        engines, gone = self._ctx.engines, list[str]()
+        changes: list[engineset.Change | None] = []
+        for item in changed:
+            engine = None if item.deleted else self._read_engine(item.stored)
+            if engine is None:
+                gone.append(item.stored.name)
+                continue
+            if engine.id in gone:
+                changes += engines.remove_all(gone, now)
+                gone.clear()
+            changes.append(engines.put(engine, now))
+        return changes + engines.remove_all(gone, now)
+
     def _read_engine(self, item: stored.StoredObject) -> routing.Engine | None:
         """Decode an engine's record; one that names no engine to use is logged."""
         engine = decoding.decode_engine(item)
--- a/berylrock/daemons/gateway/watching.py
+++ b/berylrock/daemons/gateway/watching.py
@@ -106,6 +106,7 @@
         kind_watch = self._kind_watch
         if self._needs_list:
             listing = await self._ctx.store.list(kind_watch.kind)
+            self._ctx.record_store_answer()
             apply_listing(self._ctx, kind_watch, listing, True)
             self._needs_list = False
             return 0.0
@@ -114,6 +115,7 @@
         found = await self._watch(self._mirror.revision, wait_s)
         if found is None:
             return None
+        self._ctx.record_store_answer()
         if not found.changes:
             self._mirror.apply(found, False)
             quiet_s = min(wait_s, freshness.boottime_clock() - started_at)
@@ -182,7 +184,6 @@
             self._lost = False
             self._ctx.log.write("store_regained", kind=self._kind_watch.kind)
         self._backoff.reset()
-        self._ctx.engines.record_store_back(asyncio.get_running_loop().time())
         elapsed_s = freshness.boottime_clock() - sent_at
         self._view.freshness.record(sent_at, min(quiet_s, elapsed_s))
 
@@ -190,7 +191,7 @@
         if not self._lost:
             self._lost = True
             self._ctx.log.write("store_lost", kind=self._kind_watch.kind, error=str(exc))
-        self._ctx.engines.record_store_lost(asyncio.get_running_loop().time())
+        self._ctx.engines.gaps.record_failure(asyncio.get_running_loop().time())
         # A new list shows the changes that were missed during the call.
         self._needs_list = True
         await self._back_off()
--- a/berylrock/ops/engineset.py
+++ b/berylrock/ops/engineset.py
@@ -1,19 +1,18 @@
 """Tracks the engines: which exist, which are draining, evacuated zones and running requests.
 
-A missing record in the store normally means that the engine is gone. During an outage of the store,
-and shortly after it, records expire although their engines still run. Such an engine is kept until
-it has had time to register again.
+A missing record in the store normally means that the engine is gone. In an outage of the store,
+records expire although their engines still run. Such an engine is kept until it has had time to
+register again. Whether the store can have lost a record follows from when any gateway heard the
+store (see ``storegaps``) and from what became of the other records: an outage in which records
+expire takes most of them, and they are written again soon after it.
 """
 
 from typing import NamedTuple
 
 from berylrock.core import routing, stored
-from berylrock.ops import departures, enginegroup, enginelimits, enginestate
+from berylrock.ops import departures, enginegroup, enginelimits, enginestate, storegaps
 
-__all__ = ["EngineSet", "StoreOutage"]
-
-# Time for engines to register again after an outage of the store.
-RETURN_GRACE_S = 2.3
+__all__ = ["EngineSet"]
 
 
 class Change(NamedTuple):
@@ -23,18 +22,6 @@
     what: str
 
 
-class StoreOutage(NamedTuple):
-    """What a gateway knows about an outage of the store.
-
-    Attributes:
-      lost: Whether the store does not respond.
-      ended_ago_s: Seconds since the last outage ended; None if there was none.
-    """
-
-    lost: bool
-    ended_ago_s: float | None
-
-
 def _is_alike(one: routing.Engine, other: routing.Engine) -> bool:
     """Tell whether two records of an engine differ at most in its warm-up and their age."""
     return one == other._replace(
@@ -42,6 +29,12 @@
     )
 
 
+def _is_rewritten(known: routing.Engine, engine: routing.Engine) -> bool:
+    """Tell whether a record was written anew without a change, as one that had expired."""
+    same = known._replace(revision=engine.revision, sequence=engine.sequence)
+    return engine.revision > known.revision and same == engine
+
+
 def _has_restarted(known: routing.Engine, engine: routing.Engine) -> bool:
     """Tell whether a record is that of a later start of an engine under the same id."""
     return 0 < known.started_ms < engine.started_ms
@@ -65,63 +58,33 @@
     """The engines of all services.
 
     Attributes:
+      gaps: When the store was not heard, and records may have expired.
       evacuated: Zones whose engines receive no new requests.
       generation: Number that grows whenever an engine is added, changed or removed, or the
         evacuated zones change.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_s: float = storegaps.DEFAULT_HEARTBEAT_S) -> None:
+        """Create an empty set; ``heartbeat_s`` is the interval in which engines renew records."""
+        self.gaps = storegaps.StoreGaps(heartbeat_s)
         self.generation = 0
         self._states: dict[str, enginestate.EngineState] = {}
         self._groups: dict[tuple[str, str | None], enginegroup.EngineGroup] = {}
         self._departures = departures.Departures()
         self._recorded_limits: dict[str, float] = {}
-        self._store_lost_at: float | None = None
-        self._store_back_at: float | None = None
+        self._rewritten_at = float("-inf")
         self.evacuated: frozenset[str] = frozenset()
 
-    def record_store_lost(self, now: float) -> None:
-        """Record that the store does not respond."""
-        if self._store_lost_at is None:
-            self._store_lost_at = now
-
-    def record_store_back(self, now: float) -> None:
-        """Record that the store responds."""
-        if self._store_lost_at is not None:
-            self._store_lost_at = None
-            self._store_back_at = now
-
     def record_restored(self, now: float) -> None:
         """Record that the store has come back from an older copy.
 
         The records of engines that started after the copy are missing, as after an outage, and
         those of engines that are gone since are there again.
         """
-        self.record_store_lost(now)
-        self.record_store_back(now)
+        self.gaps.record_restored(now)
+        self._rewritten_at = now
         self._departures.record_restored(now)
 
-    def outage(self, now: float) -> StoreOutage:
-        """Return the state of the store, for a gateway that reads through this one."""
-        back_at = self._store_back_at
-        return StoreOutage(
-            self._store_lost_at is not None, None if back_at is None else now - back_at
-        )
-
-    def record_outage(self, outage: StoreOutage, now: float) -> None:
-        """Record the state of the store as the relay of this gateway reports it."""
-        if outage.lost:
-            self.record_store_lost(now)
-            return
-        self._store_lost_at = None
-        if outage.ended_ago_s is not None:
-            self._store_back_at = now - outage.ended_ago_s
-
-    def _is_near_outage(self, now: float) -> bool:
-        if self._store_lost_at is not None:
-            return True
-        return self._store_back_at is not None and now - self._store_back_at < RETURN_GRACE_S
-
     def set_evacuated(self, zones: frozenset[str], now: float) -> None:
         """Replace the evacuated zones; engines of a zone that returns may be cold."""
         returned = self.evacuated - zones
@@ -156,6 +119,8 @@
             return None
         previous = state.engine
         state.lapsed_at = None
+        if self.gaps.may_lack_records(now) and _is_rewritten(previous, engine):
+            self._rewritten_at = now
         if _is_outdated(previous, engine):
             state.engine = previous._replace(revision=engine.revision)
             is_news = engine.revision > previous.revision
@@ -171,8 +136,8 @@
     def remove(self, engine_id: str, now: float) -> Change | None:
         """Handle the removal of an engine's record.
 
-        Around an outage of the store, an engine that was neither draining nor leaving is kept as
-        lapsed.
+        An engine that was neither draining nor leaving is kept as lapsed if the store can have lost
+        its record.
 
         Args:
           engine_id: The engine's id.
@@ -181,18 +146,42 @@
         Returns:
           The change to log; None if nothing changed.
         """
-        self._departures.remove_doubted(engine_id)
-        state = self._states.get(engine_id)
-        if state is None:
-            return None
-        staying = not state.engine.draining and not state.notices.leaving
-        if staying and self._is_near_outage(now):
-            if state.lapsed_at is None:
-                state.lapsed_at = now
-                return Change(engine_id, "lapsed")
+        changes = self.remove_all([engine_id], now)
+        return changes[0] if changes else None
+
+    def remove_all(self, engine_ids: list[str], now: float) -> list[Change]:
+        """Handle the removal of records that are missing at the same time, as in ``remove``."""
+        for engine_id in engine_ids:
+            self._departures.remove_doubted(engine_id)
+        missing = [self._states[name] for name in engine_ids if name in self._states]
+        staying = [item for item in missing if not item.engine.draining]
+        staying = [item for item in staying if not item.notices.leaving]
+        kept = staying if self._can_have_lost(staying, now) else []
+        return [
+            item for item in (self._lapse(state, state in kept, now) for state in missing) if item
+        ]
+
+    def _lapse(self, state: enginestate.EngineState, is_kept: bool, now: float) -> Change | None:
+        """Keep an engine without a record, or drop it."""
+        engine_id = state.engine.id
+        if not is_kept:
+            self._drop(engine_id, now)
+            return Change(engine_id, "removed")
+        if state.lapsed_at is not None:
             return None
-        self._drop(engine_id, now)
-        return Change(engine_id, "removed")
+        state.lapsed_at = now
+        return Change(engine_id, "lapsed")
+
+    def _can_have_lost(self, missing: list[enginestate.EngineState], now: float) -> bool:
+        """Tell whether the store can have lost these records, so that their engines may live."""
+        if not self.gaps.may_lack_records(now):
+            return False
+        last = self.gaps.last
+        if last is not None and self._rewritten_at >= last.ended_at:
+            return True
+        lapsed = {item.engine.id for item in self._states.values() if item.lapsed_at is not None}
+        lapsed |= {item.engine.id for item in missing}
+        return 2 * len(lapsed) >= len(self._states)
 
     def _drop(self, engine_id: str, now: float) -> None:
         """Drop an engine, but remember what it says of itself in case its record returns."""
@@ -205,7 +194,7 @@
         changes = [self.put(item, now) for item in engines]
         known = self._departures.doubted_ids() | self._states.keys()
         missing = [name for name in known if name not in listed]
-        changes += [self.remove(name, now) for name in missing]
+        changes += self.remove_all(missing, now)
         return [item for item in changes if item is not None]
 
     def record_leaving(self, state: enginestate.EngineState) -> bool:
@@ -270,7 +259,7 @@
         """
         added = [self.put(item, now) for item in self._departures.take_confirmed(now)]
         changes = [item for item in added if item is not None]
-        if self._is_near_outage(now):
+        if self.gaps.may_lack_records(now):
             return changes
         gone = [name for name, state in self._states.items() if state.lapsed_at is not None]
         for name in gone:
--- a/berylrock/platform/settings.py
+++ b/berylrock/platform/settings.py
@@ -12,6 +12,7 @@
 PATH_VARIABLE = "BERYLROCK_BOOT"
 DEFAULT_PATH = "/etc/berylrock/boot.toml"
 MS_PER_S = 1000.0
+DEFAULT_HEARTBEAT_MS = 1200
 
 
 def default_path() -> str:
@@ -100,6 +101,13 @@
             faults.append(f"{path}: port-range: write it as [FIRST, LAST], not {ports!r}")
         return 0
 
+    def heartbeat_s() -> float:
+        value = table.get("heartbeat-ms", DEFAULT_HEARTBEAT_MS)
+        if isinstance(value, int | float) and value > 0:
+            return value / MS_PER_S
+        faults.append(f"{path}: heartbeat-ms: write milliseconds above 0, not {value!r}")
+        return DEFAULT_HEARTBEAT_MS / MS_PER_S
+
     try:
         bounds = _read_bounds(table.get("bounds", {}))
     except (TypeError, ValueError) as exc:
@@ -117,6 +125,7 @@
         max_fds=int(table.get("limits", {}).get("max-fds", 1024)),
         memory_mb=float(table.get("limits", {}).get("mem-limit-mb", 0.0)),
         link_mbps=float(table.get("limits", {}).get("bandwidth-mbps", 0.0)),
+        heartbeat_s=heartbeat_s(),
         bounds=bounds,
     )
     if faults:
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -16,7 +16,16 @@
     property_settings,
 )
 
-from berylrock.ops import budget, engineset, enginestate, health, pacing, routetable, selection
+from berylrock.ops import (
+    budget,
+    engineset,
+    enginestate,
+    health,
+    pacing,
+    routetable,
+    selection,
+    storegaps,
+)
 
 
 @given("a configuration with {count:d} routes")
@@ -155,7 +164,8 @@
     """Lose the store, then the entry."""
     context.engines = engineset.EngineSet()
     context.engines.put(make_engine("e1"), 0.0)
-    context.engines.record_store_lost(10.0)
+    for at in (10.0, 11.7, 13.4):
+        context.engines.gaps.record_failure(at)
     context.engines.remove("e1", 10.5)
 
 
@@ -165,10 +175,10 @@
     assert context.engines.group("models", "v1").states
     context.engines.expire(12.0)
     assert context.engines.group("models", "v1").states
-    context.engines.record_store_back(14.0)
+    context.engines.gaps.record_answer(14.0)
     context.engines.expire(15.0)
     assert context.engines.group("models", "v1").states
-    context.engines.expire(14.0 + engineset.RETURN_GRACE_S + 0.1)
+    context.engines.expire(14.0 + storegaps.RETURN_GRACE_S + 0.1)
     assert not context.engines.group("models", "v1").states
 
 
@@ -188,7 +198,7 @@
     engines.put(make_engine("e1"), 0.0)
     engines.put(make_engine("e1", revision=2, draining=True), 1.0)
     assert not engines.group("models", "v1").states
-    engines.record_store_lost(10.0)
+    engines.gaps.record_failure(10.0)
     engines.remove("e1", 10.5)
     assert engines.find("e1") is None
 
--- a/features/steps/gateway_notice_decision_steps.py
+++ b/features/steps/gateway_notice_decision_steps.py
@@ -56,7 +56,7 @@
 def step_leaving_removed(context):
     """Check that it is not kept like an engine whose record lapsed."""
     engines = make_set("e1", "e2")
-    engines.record_store_lost(1.0)
+    engines.gaps.record_failure(1.0)
     engines.record_leaving(engines.find("e1"))
     assert engines.remove("e1", 2.0).what == "removed"
     assert engines.remove("e2", 2.0).what == "lapsed"
--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -228,7 +228,7 @@
     Mutant(
         "relay-doubt",
         "daemons/gateway/confirming.py",
-        "            return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.outage(now).lost)",
+        "            return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.gaps.lost)",
         "            return 1e9",
         "although the relay is cut off from the store",
         (Edit("daemons/gateway/following.py", "if engines_age_s > MAX", "if False and 0 > MAX"),),
@@ -242,7 +242,7 @@
         (
             Edit(
                 "daemons/gateway/confirming.py",
-                "return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.outage(now).lost)",
+                "return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.gaps.lost)",
                 "return 1e9",
             ),
         ),
--- a/features/support/platform/proxy.py
+++ b/features/support/platform/proxy.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects network faults: delays, resets, one-way blocks and silence."""
 
 import asyncio
+import socket
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
@@ -85,3 +86,53 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+class Path(Proxy):
+    """A proxy that can be cut as a partition does: nothing passes and no connection is accepted.
+
+    The queue of new connections holds one; the opening packets of the others are dropped, as on a
+    path that is cut.
+    """
+
+    def __init__(self, target_port):
+        super().__init__(target_port)
+        self._whole = asyncio.Event()
+        self._whole.set()
+        self._tasks = set()
+        self._sock = None
+
+    async def start(self):
+        """Start listening on a free port."""
+        self._sock = socket.socket()
+        self._sock.setblocking(False)
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(0)
+        self.port = self._sock.getsockname()[1]
+        self._keep(self._accept())
+
+    def cut(self):
+        """Cut the path."""
+        self._whole.clear()
+        self.blocked_directions.update((UP, DOWN))
+
+    def heal(self):
+        """End the cut; what was held back arrives."""
+        self.clear_faults()
+        self._whole.set()
+
+    def _keep(self, coro):
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._whole.wait()
+            try:
+                async with asyncio.timeout(POLL_S):
+                    sock, _ = await loop.sock_accept(self._sock)
+            except TimeoutError:
+                continue
+            self._keep(self._serve(*await asyncio.open_connection(sock=sock)))
--- a/features/support/relay_data.py
+++ b/features/support/relay_data.py
@@ -26,6 +26,7 @@
         max_fds=100,
         memory_mb=0.0,
         link_mbps=link_mbps,
+        heartbeat_s=1.2,
         bounds=routing.Bounds(),
     )
 
