--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import struct
 
 import h11
 
@@ -34,6 +35,8 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Value of SO_LINGER: it is set, with no time to send what is left.
+LINGER_OFF = struct.pack("ii", 1, 0)
 
 Headers = list[tuple[bytes, bytes]]
 ResponseEvent = h11.Response | h11.Data | h11.EndOfMessage
@@ -66,6 +69,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def set_reset_on_close(sock: socket.socket) -> None:
+    """Let the kernel reset the connection when the socket is closed, without sending the rest."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+
+
 class Reader:
     """Reader of a socket in the background, which detects at once when the peer disconnects.
 
@@ -343,7 +351,20 @@
         self.request_written = False
         return True
 
+    @property
+    def has_open_request(self) -> bool:
+        """Whether a request was written whose response has not been read to its end."""
+        return self.request_written and self._conn.their_state is not h11.DONE
+
     def close(self) -> None:
-        """Close the connection at once, so that the peer cancels a request that it still runs."""
+        """Close the connection at once, so that the peer cancels a request that it still runs.
+
+        A request without a complete response is reset: what the peer has not received yet is
+        discarded. Otherwise the kernel would still deliver it, and the close would look like the
+        end of the sent data to a peer that goes on to respond.
+        """
         self.reader.close()
-        self._writer.transport.abort()
+        transport = self._writer.transport
+        if self.has_open_request and not transport.is_closing():
+            set_reset_on_close(transport.get_extra_info("socket"))
+        transport.abort()
