--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -221,9 +221,16 @@
         return self._writer.transport.get_write_buffer_size()
 
     def abort(self) -> None:
-        """Abort the connection, so that the caller cannot take a partial response for complete."""
+        """Abort the connection, so that the caller cannot take a partial response for complete.
+
+        A response to HTTP/1.0 ends with its connection, which therefore must not close in order.
+        """
         self.reader.close()
-        self._writer.transport.abort()
+        transport = self._writer.transport
+        by_close = self._conn.their_http_version == b"1.0" and not self.response_complete
+        if by_close and not transport.is_closing():
+            set_reset_on_close(transport.get_extra_info("socket"))
+        transport.abort()
 
     async def close(self) -> None:
         """Send the remaining data, then close the connection."""
--- a/features/gateway_hostile.feature
+++ b/features/gateway_hostile.feature
@@ -127,3 +127,11 @@
       | without a length            |
       | after an informational one  |
       | with bare line feeds        |
+
+  # Guards against a broken stream that looks complete to a caller whose answers end with the connection (MIXED).
+  @promise.answer
+  Scenario: A caller that speaks HTTP/1.0 sees that its stream broke off
+    Given a gateway with a stand-in store and stand-in engines
+    And each stream of the models breaks off
+    When a chat is sent in HTTP/1.0
+    Then some events arrive, and then the connection is reset
--- a/features/steps/gateway_hostile_steps.py
+++ b/features/steps/gateway_hostile_steps.py
@@ -247,3 +247,42 @@
     found = [(place, answer) for place, answer in context.results if 200 <= answer.status < 300]
     assert not [item for item in found if item[1].whole], found[:3]
     assert context.raw.requests > len(context.results) / 3, context.raw.requests
+
+
+@given("each stream of the models breaks off")
+def step_each_breaks(context):
+    """Cut each stream within its third event or its next one."""
+    for item in scenario.model_engines(context):
+        item.faults = ["cut 3", "cut 4", "cut 5"] * 4
+        item.event_interval_s = 0.05
+
+
+@when("a chat is sent in HTTP/1.0")
+def step_http10(context):
+    """Read the answer until the connection ends."""
+    running = context.gateway
+    lines = [f"POST /chat/a HTTP/1.0\r\nHost: {fleet.HOST}\r\nX-Api-Key: {fleet.KEY}\r\n"]
+    lines += [f"{name}: {value}\r\n" for name, value in fleet.CHAT_HEADERS]
+    lines.append("X-Berylrock-Attempt-Id: 00000000000000ab\r\nContent-Length: 0\r\n\r\n")
+
+    async def read_all():
+        reader, writer = await asyncio.open_connection(running.host, running.port)
+        writer.write("".join(lines).encode())
+        data, end = b"", "closed"
+        try:
+            while chunk := await reader.read(4096):
+                data += chunk
+        except ConnectionResetError:
+            end = "reset"
+        writer.transport.abort()
+        return data, end
+
+    context.received, context.end = running.thread.run(read_all())
+
+
+@then("some events arrive, and then the connection is reset")
+def step_reset_to_caller(context):
+    """Check what arrived and how it ended."""
+    assert context.received.startswith(b"HTTP/1.1 200"), context.received
+    assert b"chunked" not in context.received.lower(), context.received
+    assert context.end == "reset", (context.end, context.received)
