--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint demo bench soak soak-gateway soak-mutants clean
+.PHONY: test lint demo bench soak soak-gateway soak-mutants rig clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -30,6 +30,10 @@
 soak-gateway: $(STAMP)
 	PYTHONPATH=features $(VENV)/bin/python -m support.platform.soak --seeds $(SEEDS)
 
+SIZE ?= ferrante
+rig: $(STAMP)
+	PYTHONPATH=features $(VENV)/bin/python -m support.platform.rig --seeds $(SEEDS) --size $(SIZE)
+
 soak-mutants: $(STAMP)
 	PYTHONPATH=features $(VENV)/bin/python -m support.platform.soakmutants
 
--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -1,10 +1,11 @@
-"""Runs a gateway in which an error is raised at one place, as a fault of its own code would.
+"""Runs a gateway with a fault of its own code at one place, mostly an error that is raised there.
 
 Run it as ``python faultygateway.py PLACE SETTINGS``; the places are the keys of ``PLACES``.
 """
 
 import sys
 
+from berylrock.adapters import http1
 from berylrock.daemons.gateway import admitting, attempt, process
 from berylrock.platform import translating
 
@@ -54,7 +55,19 @@
     admitting.admit = admit
 
 
+def leave_open():
+    """Leave connections to engines open whose requests are given up, for as long as they last."""
+    close = http1.EngineConnection.close
+
+    def close_if_idle(self):
+        if not self.has_open_request:
+            close(self)
+
+    http1.EngineConnection.close = close_if_idle
+
+
 PLACES = {
+    "no close": leave_open,
     "before the write": break_before_write,
     "after the write": lambda: break_read(1),
     "in the body": lambda: break_read(2),
--- a/features/support/platform/proxy.py
+++ b/features/support/platform/proxy.py
@@ -11,6 +11,10 @@
 class Proxy:
     """Forwards TCP connections to a port of this host.
 
+    Args:
+      target_port: The port.
+      target_host: Its address.
+
     Attributes:
       delay_s: Delay added to each chunk, in seconds.
       blocked_directions: Directions in which bytes are held back until the fault is cleared:
@@ -20,13 +24,13 @@
       port: Port on which the proxy listens; 0 before ``start``.
     """
 
-    def __init__(self, target_port):
+    def __init__(self, target_port, target_host="127.0.0.1"):
         self.delay_s = 0.0
         self.blocked_directions = set()
         self.refusing = False
         self.first_lines = []
         self.port = 0
-        self._target_port = target_port
+        self._target = (target_host, target_port)
         self._server = None
         self._writers = set()
         self._silent = set()
@@ -55,7 +59,7 @@
             writer.transport.abort()
             return
         try:
-            upstream = await asyncio.open_connection("127.0.0.1", self._target_port)
+            upstream = await asyncio.open_connection(*self._target)
         except OSError:
             writer.transport.abort()
             return
--- /dev/null
+++ b/features/support/platform/rig.py
@@ -0,0 +1,420 @@
+"""Plays gateways, engines and callers as processes of their own under faults, and checks all runs.
+
+To run it by hand: ``make rig SEEDS=1-20 SIZE=ferrante``. Engines with an odd number are reached
+through a proxy, the others directly. ``--fault`` starts the gateways with a fault of
+``faultygateway``, to show that the checks notice it.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import math
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from . import (
+    faultygateway,
+    fleet,
+    gatewayprocess,
+    loop,
+    proxy,
+    rigcalls,
+    rigchecks,
+    rigengine,
+    store,
+)
+
+FEATURES = pathlib.Path(__file__).parents[2]
+# Gateways, engines of models and of a plain service.
+SIZES = {"small": (2, 3, 2), "ferrante": (5, 9, 4), "taurex": (4, 18, 4), "grown": (14, 24, 4)}
+REQUESTS_PER_S = {"small": 25.0, "ferrante": 41.0, "taurex": 45.0, "grown": 70.0}
+REVOKE_MS, GRACE_S, APPLY_MS = 5000, 8, 2000
+FAULTS_PER_S = 0.9
+RESTART_S, SETTLE_S, READY_TIMEOUT_S = 1.0, 2.0, 40.0
+STORE_MODES = ("down", "silent", "busy", "lossy")
+KINDS = (
+    *("stop_engine", "stop_engine", "kill_engine", "replace_engine", "reset_engine"),
+    *("slow_engine", "cut_engine", "silence_engine"),
+    *("stop_gateway", "kill_gateway", "term_gateway", "cut_store", "store_mode"),
+)
+
+
+class RigEngine:
+    """An engine process, its address and its log.
+
+    Attributes:
+      id: The engine's id.
+      service: Name of its service.
+      address: Where gateways reach it.
+      link: The proxy before it; None if there is none.
+      popen: The process.
+    """
+
+    def __init__(self, root, engine_id, seed, link_thread=None):
+        self.id = engine_id
+        self.service = engine_id.partition("-")[0]
+        self.log = root / f"{engine_id}.runs"
+        self.popen = None
+        self._seed = seed
+        host = gatewayprocess.new_host()
+        (port,) = gatewayprocess.free_ports(host, 1)
+        self.link, self.address = None, f"{host}:{port}"
+        self._own = self.address
+        if link_thread is not None:
+            self.link = proxy.Proxy(port, host)
+            link_thread.run(self.link.start())
+            self.address = f"127.0.0.1:{self.link.port}"
+
+    def start(self):
+        """Start the process, also after an earlier one has ended."""
+        command = [sys.executable, "-m", "support.platform.rigengine", self.id, self._own]
+        command += [str(self.log), str(self._seed)]
+        # Every third engine is a stubborn one.
+        command += ["--stubborn"] if self._seed % 3 == 0 else []
+        self._seed += 1000
+        self.popen = subprocess.Popen(command, cwd=FEATURES)
+
+    def stop(self):
+        """Kill the process, if it runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait(5)
+
+
+class Rig:
+    """The processes of one run.
+
+    Attributes:
+      disturbances: What was done to them, as ``rigchecks.Disturbance``.
+    """
+
+    def __init__(self, root, size, seed, launcher=("-m", "berylrock", "gateway")):
+        self.root = pathlib.Path(root)
+        self.rng = random.Random(seed)
+        self.thread = loop.LoopThread()
+        self.store = store.StandInStore()
+        self.thread.run(self.store.start())
+        self.disturbances = []
+        self.gateways, self.store_links, self.engines = {}, {}, {}
+        self._numbers = itertools.count(1)
+        self._busy = set()
+        gateways, models, plain = SIZES[size]
+        self._put("config", "main", make_config())
+        peer_port = gatewayprocess.free_ports("127.0.0.1", 1)[0]
+        for number in range(gateways):
+            self._add_gateway(f"entry-{number:02}", peer_port, launcher)
+        for service, count in (("models", models), ("plain", plain)):
+            for _ in range(count):
+                self.add_engine(service)
+
+    def _put(self, kind, name, spec):
+        self.thread.run(self.store.put(kind, name, spec))
+
+    def _add_gateway(self, name, peer_port, launcher):
+        link = self.store_links[name] = proxy.Proxy(self.store.port)
+        self.thread.run(link.start())
+        self.gateways[name] = gatewayprocess.GatewayProcess(
+            *(self.root, name, gatewayprocess.new_host(), link.port, REVOKE_MS, GRACE_S, peer_port),
+            apply_ms=APPLY_MS,
+            launcher=launcher,
+        )
+
+    def add_engine(self, service):
+        """Start an engine and write its entry."""
+        number = next(self._numbers)
+        link_thread = self.thread if number % 2 else None
+        item = RigEngine(self.root, f"{service}-{number:03}", number, link_thread)
+        self.engines[item.id] = item
+        item.start()
+        self.write_entry(item)
+
+    def write_entry(self, item, state="ready"):
+        """Write an engine's entry, as one that has started now."""
+        born = int(time.monotonic() * 1000)
+        entry = fleet.make_entry(item.service, item.address, state=state, born=born)
+        self._put("servers", item.id, entry)
+
+    def start(self):
+        """Start the gateways and wait until they are ready."""
+        for item in self.gateways.values():
+            item.start()
+        until = time.monotonic() + READY_TIMEOUT_S
+        for item in self.gateways.values():
+            while not self._is_ready(item):
+                assert time.monotonic() < until, f"{item.name} is not ready: {item.log()[-2000:]}"
+                time.sleep(0.05)
+
+    def _is_ready(self, item):
+        address = (item.host, item.ready_port)
+        page = fleet.exchange(address, "GET", "/readyz", [("Host", "x")], b"")
+        return self.thread.run(page).status == 200
+
+    def stop(self):
+        """End all processes that the rig has started."""
+        for item in (*self.gateways.values(), *self.engines.values()):
+            if item.popen is not None and item.popen.poll() is None:
+                item.popen.send_signal(signal.SIGCONT)
+            item.stop()
+        self.thread.stop()
+
+    async def watch_lateness(self):
+        """Record when this process, and so the machine, was too busy."""
+        while True:
+            began_at = time.monotonic()
+            await asyncio.sleep(rigengine.LATE_CHECK_S)
+            now = time.monotonic()
+            if now - began_at - rigengine.LATE_CHECK_S > rigengine.LATE_S:
+                late = rigchecks.Disturbance(*rigchecks.STARVED, began_at, now)
+                self.disturbances.append(late)
+
+    def pick(self, items, is_fit=lambda item: True):
+        """Return a random one to which nothing is being done; None if there is none."""
+        fit = [name for name in sorted(items) if name not in self._busy and is_fit(items[name])]
+        return items[self.rng.choice(fit)] if fit else None
+
+    @contextlib.asynccontextmanager
+    async def disturb(self, kind, name):
+        """Record a disturbance for as long as the block runs."""
+        began_at = time.monotonic()
+        index = len(self.disturbances)
+        self._busy.add(name)
+        self.disturbances.append(rigchecks.Disturbance(kind, name, began_at, math.inf))
+        try:
+            yield
+        finally:
+            ended_at = time.monotonic()
+            self.disturbances[index] = rigchecks.Disturbance(kind, name, began_at, ended_at)
+            self._busy.discard(name)
+
+
+def make_config():
+    """Return the configuration: plain calls, and streams that can and cannot be resumed."""
+    config = fleet.make_config(1)
+    for route in config["routes"]:
+        route["timeout-ms"] = 8000 if route["route-type"] == "streaming" else 3000
+        route["target-latency-ms"] = 1000 if route["route-type"] == "streaming" else 400
+    talk = {"sizes": ["small", "large"], "itl-target-ms": 600, "timeout-ms": 8000}
+    config["routes"].append(fleet.make_route("talk", "/talk/", "streaming", "models", **talk))
+    config["backends"][1]["engine"]["batch-slots"] = 48
+    return config
+
+
+class Faults:
+    """The faults of a run; each method is one, and lasts until its coroutine ends."""
+
+    def __init__(self, rig):
+        self._rig = rig
+        self._tasks = set()
+
+    async def run(self, seconds):
+        """Inject faults, which may overlap, for a time; returns once all have ended."""
+        rng, until = self._rig.rng, time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(rng.expovariate(FAULTS_PER_S))
+            task = asyncio.create_task(getattr(self, rng.choice(KINDS))())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+
+    def _pause_s(self, first=0.3, last=3.0):
+        return self._rig.rng.uniform(first, last)
+
+    async def _stop_process(self, kind, item):
+        if item is None or item.popen.poll() is not None:
+            return
+        popen = item.popen
+        async with self._rig.disturb(kind, getattr(item, "id", "") or item.name):
+            popen.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self._pause_s())
+            popen.send_signal(signal.SIGCONT)
+
+    async def stop_engine(self):
+        """Stop an engine's process for a while."""
+        await self._stop_process("engine_stop", self._rig.pick(self._rig.engines))
+
+    async def stop_gateway(self):
+        """Stop a gateway's process for a while."""
+        await self._stop_process("gateway", self._rig.pick(self._rig.gateways))
+
+    async def kill_engine(self):
+        """Kill an engine, which starts again under its id and at its address."""
+        rig = self._rig
+        item = rig.pick(rig.engines)
+        if item is None:
+            return
+        async with rig.disturb("engine_kill", item.id):
+            await asyncio.to_thread(item.stop)
+            await asyncio.sleep(RESTART_S)
+            item.start()
+            await rig.store.put("servers", item.id, self._entry(item, "ready"))
+
+    def _entry(self, item, state):
+        born = int(time.monotonic() * 1000)
+        return fleet.make_entry(item.service, item.address, state=state, born=born)
+
+    async def replace_engine(self):
+        """Let an engine drain and leave, while another one starts."""
+        rig = self._rig
+        item = rig.pick(rig.engines)
+        if item is None:
+            return
+        await asyncio.to_thread(rig.add_engine, item.service)
+        await asyncio.sleep(RESTART_S)
+        async with rig.disturb("engine_kill", f"{item.id} leaves"):
+            rig._busy.add(item.id)
+            await rig.store.put("servers", item.id, self._entry(item, "draining"))
+            await asyncio.sleep(APPLY_MS / 1000.0 + SETTLE_S)
+            await rig.store.remove("servers", item.id)
+        async with rig.disturb("engine_kill", item.id):
+            await asyncio.to_thread(item.stop)
+            del rig.engines[item.id]
+
+    async def _disturb_link(self, inject):
+        rig = self._rig
+        item = rig.pick(rig.engines, lambda one: one.link is not None)
+        if item is None:
+            return
+        async with rig.disturb("link", item.id):
+            inject(item.link)
+            await asyncio.sleep(self._pause_s())
+            item.link.clear_faults()
+
+    async def reset_engine(self):
+        """Reset an engine's connections."""
+        await self._disturb_link(lambda link: link.reset())
+
+    async def slow_engine(self):
+        """Delay all bytes to and from an engine."""
+        await self._disturb_link(lambda link: setattr(link, "delay_s", 0.15))
+
+    async def cut_engine(self):
+        """Hold back all bytes to and from an engine."""
+        await self._disturb_link(lambda link: link.blocked_directions.update(("up", "down")))
+
+    async def silence_engine(self):
+        """Silence the open connections of an engine."""
+        await self._disturb_link(lambda link: link.silence_open_connections())
+
+    async def kill_gateway(self):
+        """Kill a gateway, which is started again."""
+        item = self._rig.pick(self._rig.gateways)
+        if item is None:
+            return
+        async with self._rig.disturb("gateway", item.name):
+            await asyncio.to_thread(item.stop)
+            await asyncio.sleep(RESTART_S)
+            item.start()
+
+    async def term_gateway(self):
+        """Stop a gateway as planned, and start it again once it has ended."""
+        item = self._rig.pick(self._rig.gateways)
+        if item is None or item.popen.poll() is not None:
+            return
+        async with self._rig.disturb("term", item.name):
+            item.popen.send_signal(signal.SIGTERM)
+            until = time.monotonic() + GRACE_S
+            while item.popen.poll() is None and time.monotonic() < until:
+                await asyncio.sleep(0.05)
+            await asyncio.to_thread(item.stop)
+            item.start()
+
+    async def cut_store(self):
+        """Cut a gateway off from the store."""
+        rig = self._rig
+        item = rig.pick(rig.gateways)
+        if item is None:
+            return
+        async with rig.disturb("gateway", item.name):
+            link = rig.store_links[item.name]
+            link.blocked_directions.update(("up", "down"))
+            await asyncio.sleep(self._pause_s(1.0, 6.0))
+            link.clear_faults()
+
+    async def store_mode(self):
+        """Let the store fail for all gateways."""
+        rig = self._rig
+        async with rig.disturb("store", ""):
+            await rig.store.set_mode(rig.rng.choice(STORE_MODES))
+            await asyncio.sleep(self._pause_s(0.5, 4.0))
+            await rig.store.set_mode("up")
+
+
+def run(root, seed, seconds, size="small", fault="", mix="all"):
+    """Play one seed.
+
+    Args:
+      root: Folder for settings and logs.
+      seed: Seed of the faults and the traffic.
+      seconds: Time for which requests are sent.
+      size: Key of ``SIZES``.
+      fault: Key of ``faultygateway.PLACES``; empty for sound gateways.
+      mix: Key of ``rigcalls.MIXES``.
+
+    Returns:
+      The attempts, the runs, the disturbances and the descriptions of the breaches.
+    """
+    launcher = ("-m", "berylrock", "gateway")
+    if fault:
+        launcher = (str(pathlib.Path(faultygateway.__file__)), fault)
+    rig = Rig(root, size, seed, launcher)
+    try:
+        rig.start()
+        callers = rigcalls.Callers(rig.gateways, random.Random(seed + 1), REQUESTS_PER_S[size], mix)
+
+        async def play():
+            watch = asyncio.create_task(rig.watch_lateness())
+            await asyncio.gather(Faults(rig).run(seconds), callers.run(seconds))
+            # Runs of requests that were given up end within the time allowed for it.
+            await asyncio.sleep(SETTLE_S)
+            watch.cancel()
+
+        rig.thread.run(play(), seconds + 60.0)
+    finally:
+        rig.stop()
+    names = {path.stem for path in rig.root.glob("*.runs")}
+    runs = [
+        item
+        for name in sorted(names)
+        for item in rigchecks.read_runs(rig.root / f"{name}.runs", name, rig.disturbances)
+    ]
+    breaches = rigchecks.find_breaches(runs, callers.attempts, rig.disturbances)
+    return callers.attempts, runs, rig.disturbances, breaches
+
+
+def main():
+    """Play each seed and print the results; exit with 1 if any breach was found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-3", help="first and last seed")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--size", choices=sorted(SIZES), default="ferrante")
+    parser.add_argument("--fault", choices=sorted(faultygateway.PLACES), default="")
+    parser.add_argument("--mix", choices=sorted(rigcalls.MIXES), default="all")
+    args = parser.parse_args()
+    first, _, last = args.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        root = pathlib.Path(tempfile.mkdtemp(prefix=f"rig-{seed}-"))
+        attempts, runs, disturbances, breaches = run(
+            root, seed, args.seconds, args.size, args.fault, args.mix
+        )
+        done = sum(item.status == 200 and item.whole for item in attempts)
+        counts = f"{len(attempts)} attempts, {done} answered, {len(runs)} runs"
+        faults = f"{len(disturbances)} faults, {len(breaches)} breaches"
+        print(f"seed {seed}, {args.size}: {counts}, {faults}")
+        for item in breaches[:20]:
+            print(f"  BREACH {item}")
+        if breaches:
+            print(f"  logs in {root}")
+        failed += bool(breaches)
+        sys.stdout.flush()
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/support/platform/rigchecks.py
@@ -0,0 +1,132 @@
+"""Checks what the engines of the rig have logged against what its callers saw.
+
+Two promises are checked: what may run once runs once, and a request does not go on at another
+engine while the one before still works on it.
+"""
+
+import json
+import math
+from typing import NamedTuple
+
+RUN_ONCE = ("order", "talk")
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Longest time for which an engine may go on with a request after another one has begun it.
+OVERLAP_S = 0.4
+# A gateway that was disturbed within this time need not keep up with its engines.
+CONTACT_S = 3.0
+# The machine was too busy to run the processes of the rig in time.
+STARVED = ("starved", "")
+
+
+class Run(NamedTuple):
+    """One run of a request at an engine; times are of the monotonic clock.
+
+    Attributes:
+      engine: Id of the engine.
+      id: Id of the attempt.
+      began_at: When it began.
+      ended_at: When it ended; infinite if the engine still runs it.
+      how: How it ended: ``done``, ``cancelled`` or ``broken``; empty if it did not.
+    """
+
+    engine: str
+    id: str
+    began_at: float
+    ended_at: float
+    how: str
+
+
+class Disturbance(NamedTuple):
+    """A fault or a planned change, from the begin to the end.
+
+    Attributes:
+      kind: What happened: ``engine_stop``, ``engine_kill``, ``link``, ``gateway``.
+      name: Name of the engine or the gateway.
+      began_at: When it began.
+      ended_at: When it ended; infinite before that.
+    """
+
+    kind: str
+    name: str
+    began_at: float
+    ended_at: float
+
+
+def read_runs(path, engine_id, disturbances):
+    """Return the runs in an engine's log; a process that was killed ends what it ran.
+
+    Times in which the process was kept from running are added to the disturbances.
+    """
+    kills = [item.began_at for item in disturbances if item[:2] == ("engine_kill", engine_id)]
+    begun, runs = {}, []
+    for line in path.read_text().splitlines() if path.exists() else ():
+        item = json.loads(line)
+        if item["what"] == "started":
+            begun.clear()
+        elif item["what"] == "late":
+            late = Disturbance("engine_stop", engine_id, item["since"], item["at"])
+            disturbances.append(late)
+        elif item["what"] == "begin":
+            killed_at = min([at for at in kills if at > item["at"]], default=math.inf)
+            run = Run(engine_id, item["id"], item["at"], killed_at, "")
+            begun[item["run"]] = len(runs)
+            runs.append(run)
+        elif item["run"] in begun:
+            index = begun.pop(item["run"])
+            runs[index] = runs[index]._replace(ended_at=item["at"], how=item["how"])
+    return runs
+
+
+def find_breaches(runs, attempts, disturbances):
+    """Return the descriptions of all breaches."""
+    by_attempt, by_request = {}, {}
+    for run in sorted(runs, key=lambda item: item.began_at):
+        by_attempt.setdefault(run.id, []).append(run)
+        by_request.setdefault(run.id[:12], []).append(run)
+    found = []
+    for attempt in attempts:
+        ran = by_attempt.get(attempt.id, [])
+        if attempt.kind in RUN_ONCE and len(ran) > 1:
+            found.append(f"twice: {attempt} ran at {ran}")
+        if attempt.kind in RUN_ONCE and attempt.status in NOT_RUN_STATUSES and ran:
+            found.append(f"not run: {attempt} ran at {ran}")
+    gateways = {attempt.id: attempt.gateway for attempt in attempts}
+    for name, groups in (("attempt", by_attempt), ("request", by_request)):
+        for group in groups.values():
+            found += _find_overlaps(name, group, gateways, disturbances)
+    return found
+
+
+def _find_overlaps(name, group, gateways, disturbances):
+    """Return the runs of one request that went on for too long beside another one elsewhere."""
+    found = []
+    for index, later in enumerate(group):
+        for run in group[:index]:
+            is_within = name == "request" and run.id == later.id
+            if run.engine == later.engine or is_within:
+                continue
+            left_at = _continued_at(run.engine, later.began_at, disturbances)
+            # An engine that was late to read may begin last a request that it got first.
+            overlap_s = min(run.ended_at, later.ended_at) - left_at
+            if overlap_s <= OVERLAP_S or _is_excused(run, later, gateways, disturbances):
+                continue
+            found.append(f"overlap of one {name}: {overlap_s:.2f} s, {run}, then {later}")
+    return found
+
+
+def _continued_at(engine, at, disturbances):
+    """Return the time, or the end of the time in which the engine's process was stopped then."""
+    stops = [item for item in disturbances if item[:2] == ("engine_stop", engine)]
+    return max([at, *(item.ended_at for item in stops if item.began_at <= at + OVERLAP_S)])
+
+
+def _is_excused(run, later, gateways, disturbances):
+    """Tell whether the gateway did not reach the engine, or was disturbed itself."""
+    gateway = gateways.get(run.id)
+    begin, end = later.began_at - CONTACT_S, later.began_at + OVERLAP_S
+    return any(
+        item.began_at <= end
+        and item.ended_at >= begin
+        and (item.kind, item.name) in (("link", run.engine), ("gateway", gateway), STARVED)
+        for item in disturbances
+    )
