--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -41,6 +41,14 @@
     usage: _Usage | None = None
 
 
+class _Report(msgspec.Struct):
+    incarnation: str
+    loaded: tuple[str, ...] = ()
+    held_tokens: int = 0
+    capacity_tokens: int = 0
+    cold: bool = False
+
+
 _decode_event = msgspec.json.Decoder(_Event).decode
 
 
@@ -84,9 +92,10 @@
     timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_SECONDS)
     try:
         async with session.get(url, timeout=timeout) as resp:
-            return msgspec.json.decode(await resp.read(), type=interfaces.LoadReport)
+            found = msgspec.json.decode(await resp.read(), type=_Report)
     except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as exc:
         raise _unreachable_error(exc) from exc
+    return interfaces.LoadReport(**msgspec.structs.asdict(found))
 
 
 class HttpEngine:
