Let requests that wait at an entry process leave with their callers (GONE)

Change: whoever places an attempt asks whether a caller still waits: before each server, and while a request that may be repeated waits at a sidecar, which then cancels it. A call that runs at most once, and that several callers may wait for by its key, leaves once all have left and no sidecar has it; its claim is released, as for any other call that was not run. One that a sidecar has goes on, as it may have been passed on.

Open: an order that waits in a sidecar's own queue does not leave with its caller.

Test: once.feature, 'orders' and 'lookups that wait for a server leave with their callers', failed before.

--- a/berylrock/daemons/entry/callers.py
+++ b/berylrock/daemons/entry/callers.py
@@ -15,7 +15,6 @@
 HEARTBEAT_SECONDS = 5.0
 WRITE_BUFFER_BYTES = 4_096
 RATED_TEXT_CHARS = 2000
-CLOSED_BY_CALLER = 499
 
 Handler = Callable[
     [web.Request, data.Document, request.Caller, bytes], Awaitable[web.StreamResponse]
--- a/berylrock/daemons/entry/calls.py
+++ b/berylrock/daemons/entry/calls.py
@@ -39,10 +39,12 @@
     Attributes:
       task: The task that runs it.
       fingerprint: Digest of its content; another call with the same key must have the same.
+      callers: Those that wait for its answer.
     """
 
     task: asyncio.Task[Answer]
     fingerprint: str
+    callers: list[request.Caller]
 
 
 class CallRunner:
@@ -92,10 +94,18 @@
         )
 
     async def _place(
-        self, start: message.Start, pool: str, deadline: float, failed_servers: set[str]
+        self,
+        start: message.Start,
+        pool: str,
+        deadline: float,
+        failed_servers: set[str],
+        callers: list[request.Caller],
     ) -> placement.SentAttempt:
+        def is_wanted() -> bool:
+            return any(item.is_connected() for item in callers)
+
         try:
-            return await self._ctx.placer.place(start, pool, deadline, failed_servers)
+            return await self._ctx.placer.place(start, pool, deadline, failed_servers, is_wanted)
         except placement.VersionNotUsable as exc:
             raise outcome.NotRun(
                 403, "not_allowed", "the service is no longer configured; ask the operators"
@@ -107,7 +117,7 @@
         while True:
             try:
                 placed = await self._place(
-                    self._start(req), req.service.pool, deadline, failed_servers
+                    self._start(req), req.service.pool, deadline, failed_servers, [req.caller]
                 )
             except outcome.NotRun as exc:
                 if may_have_run:
@@ -161,11 +171,13 @@
         running = self._running.get(name)
         if running is not None and running.fingerprint != req.fingerprint:
             raise outcome.NotRun(422, "key_reused", KEY_REUSED)
+        if running is not None:
+            running.callers.append(req.caller)
         task = running.task if running else await self._claim(req, name, deadline)
         if isinstance(task, claims.ClaimResult):
             return await self._wait_for_claim(req, name, task.claim, deadline)
         # The task is not cancelled when the caller disconnects or the deadline passes, because the
-        # call may already have taken effect.
+        # call may already have taken effect. Before that, it ends by itself once all callers left.
         loop = asyncio.get_running_loop()
         done, _ = await asyncio.wait([task], timeout=max(0.0, deadline - loop.time()))
         if not done:
@@ -203,8 +215,9 @@
             raise outcome.NotRun(503, "store_unavailable", detail) from exc
         if not held.acquired:
             return held
-        task = asyncio.ensure_future(self._execute(req, name, held.claim, deadline))
-        self._running[name] = _Running(task, req.fingerprint)
+        callers = [req.caller]
+        task = asyncio.ensure_future(self._execute(req, name, held.claim, deadline, callers))
+        self._running[name] = _Running(task, req.fingerprint, callers)
         task.add_done_callback(lambda _task: self._on_run_done(name, _task))
         return task
 
@@ -215,12 +228,17 @@
             task.exception()
 
     async def _execute(
-        self, req: request.ServiceCall, name: str, claim: claims.Claim, deadline: float
+        self,
+        req: request.ServiceCall,
+        name: str,
+        claim: claims.Claim,
+        deadline: float,
+        callers: list[request.Caller],
     ) -> Answer:
         ctx = self._ctx
         start = self._start(req, f"{name}:{claim.token}")
         try:
-            placed = await self._place(start, req.service.pool, deadline, set())
+            placed = await self._place(start, req.service.pool, deadline, set(), callers)
         except outcome.NotRun:
             await ctx.claims.settle(name, claim, claims.with_state(claim, "released"))
             raise
--- a/berylrock/daemons/entry/completions.py
+++ b/berylrock/daemons/entry/completions.py
@@ -181,7 +181,11 @@
             try:
                 self._check_version_usable()
                 return await self._ctx.placer.place(
-                    self._start(), self.selected.pool, deadline, self._failed_servers
+                    self._start(),
+                    self.selected.pool,
+                    deadline,
+                    self._failed_servers,
+                    self._req.caller.is_connected,
                 )
             except placement.VersionNotUsable:
                 if self._chunk_count:
--- a/berylrock/daemons/entry/placement.py
+++ b/berylrock/daemons/entry/placement.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Callable
 from typing import NamedTuple
 
 from berylrock.core import data, message
@@ -21,6 +22,9 @@
 MAX_WAITING_REQUESTS = 256
 MAX_CONFIG_PAUSES = 10
 ATTEMPT_ID_BYTES = 12
+PRESENCE_CHECK_SECONDS = 0.1
+# Status of a request whose caller has left; nobody reads it.
+CLOSED_BY_CALLER = 499
 FATAL_REASONS = frozenset((admission.Reason.QUARANTINED,))
 RESELECT_REASONS = frozenset((admission.Reason.WITHDRAWN, admission.Reason.NOT_ALLOWED))
 
@@ -77,7 +81,12 @@
         return [found[view.name] for view in self._balancer(views, self._random)]
 
     async def place(
-        self, start: message.Start, pool: str, deadline: float, failed_servers: set[str]
+        self,
+        start: message.Start,
+        pool: str,
+        deadline: float,
+        failed_servers: set[str],
+        is_wanted: Callable[[], bool],
     ) -> SentAttempt:
         """Place an attempt.
 
@@ -89,13 +98,14 @@
           pool: The pool that serves it.
           deadline: Event-loop time until which the caller waits.
           failed_servers: Names of servers that failed this request, used only if there is no other.
+          is_wanted: Tells whether any caller still waits for the answer.
 
         Returns:
           The attempt, the server that accepted it and its first frame.
 
         Raises:
-          NotRun: No server accepted it, too many requests wait already, or the request is
-            quarantined.
+          NotRun: No server accepted it, too many requests wait already, the request is quarantined,
+            or its caller has left.
           VersionNotUsable: The version must no longer be used.
         """
         loop = asyncio.get_running_loop()
@@ -104,6 +114,7 @@
         any_server_full = False
         last_refusal = NO_SERVER
         while loop.time() < wait_until:
+            self._check_wanted(start, is_wanted)
             ranked = self.rank(pool, start.target, refused | failed_servers)
             if not ranked:
                 ranked = self.rank(pool, start.target, refused)
@@ -117,7 +128,7 @@
                 await self._pause()
                 self._check_not_withdrawn(start.target)
                 continue
-            placed = await self._send_attempt(start, ranked[0], deadline)
+            placed = await self._send_attempt(start, ranked[0], deadline, is_wanted)
             if not isinstance(placed.first, message.Refused):
                 return placed
             last_refusal = self._handle_refusal(start, placed, refused)
@@ -125,6 +136,13 @@
             await self._wait_for_config(placed.first.config_version)
         raise outcome.NotRun(503, "no_capacity", f"{last_refusal}; not run, try again")
 
+    def _check_wanted(self, start: message.Start, is_wanted: Callable[[], bool]) -> None:
+        """Raise ``NotRun`` if the request's caller has left."""
+        if is_wanted():
+            return
+        self._runtime.log.write("caller_left", request=start.request_id, target=start.target)
+        raise outcome.NotRun(CLOSED_BY_CALLER, "caller_left", "the caller has disconnected")
+
     def _check_waiting_limit(self) -> None:
         if self._pausing_count >= MAX_WAITING_REQUESTS:
             detail = (
@@ -146,7 +164,11 @@
             raise VersionNotUsable(target)
 
     async def _send_attempt(
-        self, start: message.Start, server_link: serverlinks.ServerLink, deadline: float
+        self,
+        start: message.Start,
+        server_link: serverlinks.ServerLink,
+        deadline: float,
+        is_wanted: Callable[[], bool],
     ) -> SentAttempt:
         loop = asyncio.get_running_loop()
         left_ms = max(1, int((deadline - loop.time()) * 1000))
@@ -165,11 +187,27 @@
         )
         attempt = server_link.start_attempt(sent)
         try:
-            return SentAttempt(attempt, server_link, await attempt.next_frame())
-        except asyncio.CancelledError:
+            first = await self._wait_for_first_frame(attempt, sent, is_wanted)
+            return SentAttempt(attempt, server_link, first)
+        except (asyncio.CancelledError, outcome.NotRun):
             attempt.close()
             raise
 
+    async def _wait_for_first_frame(
+        self, attempt: attempts.Attempt, start: message.Start, is_wanted: Callable[[], bool]
+    ) -> attempts.Frame:
+        """Wait for the server's first frame, for as long as the caller does.
+
+        A call that runs at most once may have been passed on, so it is waited for in any case.
+        """
+        while start.repeatable:
+            try:
+                async with asyncio.timeout(PRESENCE_CHECK_SECONDS):
+                    return await attempt.next_frame()
+            except TimeoutError:
+                self._check_wanted(start, is_wanted)
+        return await attempt.next_frame()
+
     def _handle_refusal(self, start: message.Start, placed: SentAttempt, refused: set[str]) -> str:
         first = placed.first
         assert isinstance(first, message.Refused)
--- a/berylrock/daemons/entry/request.py
+++ b/berylrock/daemons/entry/request.py
@@ -3,6 +3,7 @@
 import hashlib
 import re
 import secrets
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -50,6 +51,7 @@
       timeout_seconds: Time until the request's deadline.
       priority: The organisation's priority plus the X-Priority header, which is from -10 to 0.
       idempotency_key: The caller's idempotency key, or an empty string.
+      is_connected: Tells whether the caller's connection is still open.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     timeout_seconds: float
     priority: int
     idempotency_key: str
+    is_connected: Callable[[], bool]
 
 
 class CompletionRequest(NamedTuple):
@@ -172,6 +175,7 @@
         timeout,
         owners[0].priority + int(priority),
         _read_id_header(req, "Idempotency-Key"),
+        lambda: req.transport is not None and not req.transport.is_closing(),
     )
 
 
--- a/features/once.feature
+++ b/features/once.feature
@@ -134,3 +134,20 @@
     And entry-1 is killed
     And the object API accepts bills again
     Then the records are consistent
+
+  # Guards against requests that wait at an entry process and run after their callers have left (GONE).
+  @promise.gone
+  Scenario Outline: <kind> that wait for a server leave with their callers
+    Given the ferrante deployment with services=1
+    When service-1 is killed
+    And 4 <kind> are started whose callers leave after 0.5 s
+    And all requests have ended
+    And service-1 is restarted
+    And all processes are ready again
+    And 1 <kind> are sent
+    Then only the last of the <kind> have run
+
+    Examples:
+      | kind    |
+      | orders  |
+      | lookups |
--- a/features/steps/process_error_steps.py
+++ b/features/steps/process_error_steps.py
@@ -135,7 +135,7 @@
         runtime=runtime, budget=budget, cfg=None, server_links=None
     )
     organisation = types.SimpleNamespace(requests_per_second=0.0, name="one")
-    context.caller = request.Caller("r1", organisation, 1.0, 0, "")
+    context.caller = request.Caller("r1", organisation, 1.0, 0, "", lambda: True)
 
 
 @when("a caller sends it a request")
--- a/features/steps/traffic_steps.py
+++ b/features/steps/traffic_steps.py
@@ -120,3 +120,19 @@
     traffic.finish(context)
     unanswered = [result for result, _ in context.results if not result.complete]
     assert context.results and not unanswered, unanswered
+
+
+@when("{count:d} {kind:Word} are started whose callers leave after {seconds:g} s")
+def step_leave_early(context, count, kind, seconds):
+    """Send calls whose callers wait for a short time only."""
+    start = traffic.start_orders if kind == "orders" else traffic.start_lookups
+    start(context, count, timeout=seconds)
+
+
+@then("only the last of the {kind:Word} have run")
+def step_only_last(context, kind):
+    """Check the record of what the services ran; all but one of the callers had left."""
+    traffic.finish(context)
+    statuses = [result.status for result, _ in context.results]
+    assert statuses[-1] == 200 and not any(statuses[:-1]), context.results
+    assert traffic.count_events(context, "ran") == 1, traffic.count_events(context, "ran")
