Let the order and its caller's close arrive while the gateway is stopped, in the scenario on both

The scenario did not make sure of what it names. Now the gateway's process is stopped until both are in its kernel's queue, and all five must leave unsent, in place of none running.

--- a/features/gateway_gone.feature
+++ b/features/gateway_gone.feature
@@ -63,5 +63,5 @@
   @promise.gone
   Scenario: An order that arrives together with its caller's close is not sent
     Given a gateway with a stand-in store and stand-in engines
-    When 5 orders are sent of which 5 are given up after 0 s
+    When 5 orders and the closes of their connections arrive at the same time
     Then no order has run after 0.5 s
--- a/features/steps/gateway_gone_steps.py
+++ b/features/steps/gateway_gone_steps.py
@@ -1,6 +1,7 @@
 """Steps on callers that leave before their answers, with a gateway process."""
 
 import asyncio
+import signal
 import socket
 import time
 
@@ -99,8 +100,7 @@
     async def send(number):
         _, writer = await asyncio.open_connection(gateway.host, gateway.port)
         writer.write(make_request(kind, number))
-        if seconds:
-            await asyncio.sleep(seconds)
+        await asyncio.sleep(seconds)
         if number > given_up:
             await asyncio.sleep(KEPT_S)
         writer.close()
@@ -115,6 +115,25 @@
     gateway.thread.run(send_all())
 
 
+@when("{count:d} orders and the closes of their connections arrive at the same time")
+def step_arrive_together(context, count):
+    """Send and close while the gateway's process is stopped, so that it finds both."""
+    running = context.gateway
+
+    async def send(number):
+        _, writer = await asyncio.open_connection(running.host, running.port)
+        writer.write(make_request("order", number))
+        writer.close()
+        await writer.wait_closed()
+
+    running.signal(signal.SIGSTOP)
+    for number in range(count):
+        running.thread.run(send(number + 1))
+    running.signal(signal.SIGCONT)
+    left = "event=caller_left"
+    running.wait(lambda: running.log().count(left) == count, "the gateway has seen them leave")
+
+
 @then("only the {kind:w} that was kept reaches an engine after the pause")
 def step_only_kept(context, kind):
     """Check the ids of the requests that arrived after the pause."""
