--- a/berylrock/daemons/entry/placement.py
+++ b/berylrock/daemons/entry/placement.py
@@ -80,6 +80,12 @@
         views = tuple(server_link.view() for server_link in found.values())
         return [found[view.name] for view in self._balancer(views, self._random)]
 
+    def _rank_untried(
+        self, pool: str, target: str, refused: set[str], failed: set[str]
+    ) -> list[serverlinks.ServerLink]:
+        """Rank the servers that have not refused; those that failed only if there is no other."""
+        return self.rank(pool, target, refused | failed) or self.rank(pool, target, refused)
+
     async def place(
         self,
         start: message.Start,
@@ -104,20 +110,16 @@
           The attempt, the server that accepted it and its first frame.
 
         Raises:
-          NotRun: No server accepted it, too many requests wait already, the request is quarantined,
-            or its caller has left.
+          NotRun: No server accepted it, too many wait already, it is quarantined, or unwanted.
           VersionNotUsable: The version must no longer be used.
         """
         loop = asyncio.get_running_loop()
         wait_until = min(deadline, loop.time() + NO_SERVER_TIMEOUT_SECONDS)
         refused: set[str] = set()
-        any_server_full = False
-        last_refusal = NO_SERVER
+        any_server_full, last_refusal = False, NO_SERVER
         while loop.time() < wait_until:
             self._check_wanted(start, is_wanted)
-            ranked = self.rank(pool, start.target, refused | failed_servers)
-            if not ranked:
-                ranked = self.rank(pool, start.target, refused)
+            ranked = self._rank_untried(pool, start.target, refused, failed_servers)
             if not ranked:
                 if any_server_full:
                     # The servers exist and will have capacity again, so wait until the deadline.
@@ -125,8 +127,7 @@
                     wait_until = deadline
                 any_server_full = False
                 refused.clear()
-                await self._pause()
-                self._check_not_withdrawn(start.target)
+                await self._pause(start.target)
                 continue
             placed = await self._send_attempt(start, ranked[0], deadline, is_wanted)
             if not isinstance(placed.first, message.Refused):
@@ -151,12 +152,14 @@
             )
             raise outcome.NotRun(503, "overload", detail)
 
-    async def _pause(self) -> None:
+    async def _pause(self, target: str) -> None:
+        """Pause before the next try; raises ``VersionNotUsable`` if the target was withdrawn."""
         self._pausing_count += 1
         try:
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
         finally:
             self._pausing_count -= 1
+        self._check_not_withdrawn(target)
 
     def _check_not_withdrawn(self, target: str) -> None:
         doc = self._runtime.config.doc
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -6,7 +6,16 @@
 import time
 from typing import NamedTuple
 
-from berylrock.core import eventlog, histograms, message, metrics, routing, stored, timer
+from berylrock.core import (
+    eventlog,
+    gatewaysettings,
+    histograms,
+    message,
+    metrics,
+    routing,
+    stored,
+    timer,
+)
 from berylrock.ops import (
     baselines,
     budget,
@@ -100,7 +109,7 @@
 
     def __init__(
         self,
-        cfg: routing.GatewaySettings,
+        cfg: gatewaysettings.GatewaySettings,
         log: eventlog.EventLog,
         meter: metrics.Metrics,
         timers: timer.Timer,
--- a/berylrock/ops/pacing.py
+++ b/berylrock/ops/pacing.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from berylrock.core import routing
+from berylrock.core import gatewaysettings, routing
 from berylrock.ops import rendezvous
 
 __all__ = ["RateShares", "SendWindow", "make_shares"]
@@ -61,7 +61,7 @@
 
 
 def make_shares(
-    service: routing.Service, bounds: routing.Bounds, gateways: Iterable[str], own_name: str
+    service: routing.Service, bounds: gatewaysettings.Bounds, gateways: Iterable[str], own_name: str
 ) -> RateShares:
     """Divide the request rate that a cold engine of a service bears.
 
--- a/berylrock/ops/relays.py
+++ b/berylrock/ops/relays.py
@@ -17,7 +17,7 @@
 import hashlib
 from collections.abc import Collection, Iterable
 
-from berylrock.core import routing
+from berylrock.core import gatewaysettings, routing
 
 __all__ = [
     "RelayChoice",
@@ -41,11 +41,11 @@
 MAX_FAILED = 2
 
 
-def _tightest_bound_s(bounds: routing.Bounds) -> float:
+def _tightest_bound_s(bounds: gatewaysettings.Bounds) -> float:
     return min(bounds.config_apply_s, bounds.drain_s, bounds.evacuate_s, bounds.revoke_s)
 
 
-def max_view_age_s(bounds: routing.Bounds) -> float | None:
+def max_view_age_s(bounds: gatewaysettings.Bounds) -> float | None:
     """Return the age in seconds from which on a relayed view is doubted.
 
     Args:
@@ -58,7 +58,7 @@
     return limit_s if limit_s >= MIN_VIEW_AGE_S else None
 
 
-def doubt_age_s(bounds: routing.Bounds, relay_lost: bool) -> float:
+def doubt_age_s(bounds: gatewaysettings.Bounds, relay_lost: bool) -> float:
     """Return the age in seconds of a relayed view from which on the gateway asks the store itself.
 
     Args:
@@ -114,7 +114,7 @@
 
 
 def rank_relays(
-    peers: Iterable[routing.Peer], live: Collection[str], cfg: routing.GatewaySettings
+    peers: Iterable[routing.Peer], live: Collection[str], cfg: gatewaysettings.GatewaySettings
 ) -> tuple[routing.Peer, ...]:
     """Return the gateways through which this one may read, the best one first.
 
--- a/berylrock/ops/sampling.py
+++ b/berylrock/ops/sampling.py
@@ -6,7 +6,7 @@
 that its test needs.
 """
 
-from berylrock.core import routing
+from berylrock.core import gatewaysettings
 from berylrock.ops import rollouts, trials
 
 __all__ = ["reweigh", "sampling_shares", "second_stage_margin_s"]
@@ -64,7 +64,7 @@
     return (bad + PRIOR_RESPONSES * overall) / (responses + PRIOR_RESPONSES)
 
 
-def second_stage_margin_s(streams: bool, per_s: float, bounds: routing.Bounds) -> float:
+def second_stage_margin_s(streams: bool, per_s: float, bounds: gatewaysettings.Bounds) -> float:
     """Return how much traffic beyond its share the second stage of a rollout may use.
 
     Sessions cannot be sampled by route. The second stage, in which sessions may change their
@@ -85,7 +85,7 @@
 
 
 def sampling_shares(
-    judge: trials.TrialJudge, age_s: float, duration_s: float, bounds: routing.Bounds
+    judge: trials.TrialJudge, age_s: float, duration_s: float, bounds: gatewaysettings.Bounds
 ) -> dict[str, float]:
     """Compute which share of each route's requests goes to the version on trial for a judgement.
 
--- a/berylrock/platform/settings.py
+++ b/berylrock/platform/settings.py
@@ -5,14 +5,14 @@
 import tomllib
 from typing import Any
 
-from berylrock.core import errors, routing
+from berylrock.core import errors, gatewaysettings
 
 __all__ = ["PATH_VARIABLE", "default_path", "load"]
 
 PATH_VARIABLE = "BERYLROCK_BOOT"
 DEFAULT_PATH = "/etc/berylrock/boot.toml"
 MS_PER_S = 1000.0
-DEFAULT_HEARTBEAT_MS = 1200
+DEFAULT_HEARTBEAT_MS, DEFAULT_MAX_FDS = 1200, 1024
 
 
 def default_path() -> str:
@@ -25,8 +25,8 @@
     return host, int(port)
 
 
-def _read_bounds(table: dict[str, Any]) -> routing.Bounds:
-    base = routing.Bounds()
+def _read_bounds(table: dict[str, Any]) -> gatewaysettings.Bounds:
+    base = gatewaysettings.Bounds()
 
     def seconds(name: str, default: float) -> float:
         return float(table[name]) / MS_PER_S if name in table else default
@@ -34,7 +34,7 @@
     def number(name: str, default: float) -> float:
         return float(table.get(name, default))
 
-    return routing.Bounds(
+    return gatewaysettings.Bounds(
         contact_s=seconds("contact-ms", base.contact_s),
         drain_s=seconds("drain-timeout-ms", base.drain_s),
         grace_s=number("grace-s", base.grace_s),
@@ -54,7 +54,7 @@
     )
 
 
-def load(path: str) -> routing.GatewaySettings:
+def load(path: str) -> gatewaysettings.GatewaySettings:
     """Read the settings of a gateway.
 
     Args:
@@ -74,60 +74,93 @@
     return _convert(path, table)
 
 
-def _convert(path: str, table: dict[str, Any]) -> routing.GatewaySettings:
-    faults: list[str] = []
+class _Table:
+    """The settings as read from the file, and the faults that are found in them.
 
-    def require(*names: str) -> Any:
-        value: Any = table
+    Each method returns a value of the right type in any case, and adds a line to ``faults`` if it
+    is not the one that the file should have.
+
+    Attributes:
+      faults: What is wrong and how to correct it.
+    """
+
+    def __init__(self, path: str, table: dict[str, Any]) -> None:
+        self.faults: list[str] = []
+        self._path = path
+        self._table = table
+
+    def require(self, *names: str) -> Any:
+        """Return the value at a path of names; None if it is missing."""
+        value: Any = self._table
         for name in names:
             value = value.get(name) if isinstance(value, dict) else None
         if value is None:
-            faults.append(f"{path}: {'.'.join(names)}: missing; set it")
+            self._add_fault(names, "missing; set it")
         return value
 
-    def address(*names: str) -> tuple[str, int]:
-        text = require(*names)
+    def address(self, *names: str) -> tuple[str, int]:
+        """Return the address and port at a path of names."""
+        text = self.require(*names)
         try:
             return _split_address(text) if text is not None else ("", 0)
         except (ValueError, AttributeError):
-            faults.append(f"{path}: {'.'.join(names)}: write it as IP:PORT, not {text!r}")
+            self._add_fault(names, f"write it as IP:PORT, not {text!r}")
             return ("", 0)
 
-    def peer_port() -> int:
-        ports = require("port-range")
+    def peer_port(self) -> int:
+        """Return the port for messages between gateways."""
+        ports = self.require("port-range")
         if isinstance(ports, list) and ports and isinstance(ports[0], int):
             return ports[0]
         if ports is not None:
-            faults.append(f"{path}: port-range: write it as [FIRST, LAST], not {ports!r}")
+            self._add_fault(("port-range",), f"write it as [FIRST, LAST], not {ports!r}")
         return 0
 
-    def heartbeat_s() -> float:
-        value = table.get("heartbeat-ms", DEFAULT_HEARTBEAT_MS)
+    def heartbeat_s(self) -> float:
+        """Return the interval in which engines renew their records, in seconds."""
+        value = self._table.get("heartbeat-ms", DEFAULT_HEARTBEAT_MS)
         if isinstance(value, int | float) and value > 0:
             return value / MS_PER_S
-        faults.append(f"{path}: heartbeat-ms: write milliseconds above 0, not {value!r}")
+        self._add_fault(("heartbeat-ms",), f"write milliseconds above 0, not {value!r}")
         return DEFAULT_HEARTBEAT_MS / MS_PER_S
 
-    try:
-        bounds = _read_bounds(table.get("bounds", {}))
-    except (TypeError, ValueError) as exc:
-        faults.append(f"{path}: bounds: each must be a number: {exc}")
-        bounds = routing.Bounds()
-    cfg = routing.GatewaySettings(
-        name=str(require("node-name")),
-        zone=str(require("zone")),
-        region=str(table.get("region", "")),
-        address=str(require("ip")),
-        frontend_address=address("listen", "frontend"),
-        readiness_address=address("listen", "readiness"),
-        store_address=address("platform", "address"),
-        peer_port=peer_port(),
-        max_fds=int(table.get("limits", {}).get("max-fds", 1024)),
-        memory_mb=float(table.get("limits", {}).get("mem-limit-mb", 0.0)),
-        link_mbps=float(table.get("limits", {}).get("bandwidth-mbps", 0.0)),
-        heartbeat_s=heartbeat_s(),
-        bounds=bounds,
+    def bounds(self) -> gatewaysettings.Bounds:
+        """Return the limits that the gateway must keep."""
+        try:
+            return _read_bounds(self._table.get("bounds", {}))
+        except (TypeError, ValueError) as exc:
+            self._add_fault(("bounds",), f"each must be a number: {exc}")
+            return gatewaysettings.Bounds()
+
+    def limit(self, name: str, default: float) -> float:
+        """Return a limit of the VM."""
+        return float(self._table.get("limits", {}).get(name, default))
+
+    def region(self) -> str:
+        """Return the VM's region; empty if it has none."""
+        return str(self._table.get("region", ""))
+
+    def _add_fault(self, names: tuple[str, ...], text: str) -> None:
+        self.faults.append(f"{self._path}: {'.'.join(names)}: {text}")
+
+
+def _convert(path: str, table: dict[str, Any]) -> gatewaysettings.GatewaySettings:
+    found = _Table(path, table)
+    cfg = gatewaysettings.GatewaySettings(
+        name=str(found.require("node-name")),
+        zone=str(found.require("zone")),
+        region=found.region(),
+        address=str(found.require("ip")),
+        frontend_address=found.address("listen", "frontend"),
+        readiness_address=found.address("listen", "readiness"),
+        store_address=found.address("platform", "address"),
+        peer_port=found.peer_port(),
+        max_fds=int(found.limit("max-fds", DEFAULT_MAX_FDS)),
+        memory_mb=found.limit("mem-limit-mb", 0.0),
+        link_mbps=found.limit("bandwidth-mbps", 0.0),
+        heartbeat_s=found.heartbeat_s(),
+        bounds=found.bounds(),
     )
-    if faults:
-        raise errors.SettingsError("\n".join(faults))
+    if found.faults:
+        raise errors.SettingsError("\n".join(found.faults))
     return cfg
--- a/features/steps/gateway_relay_decision_steps.py
+++ b/features/steps/gateway_relay_decision_steps.py
@@ -5,7 +5,7 @@
 from behave import then
 from support import relay_data
 
-from berylrock.core import routing, stored
+from berylrock.core import gatewaysettings, stored
 from berylrock.ops import mirrors, relays
 
 
@@ -201,7 +201,7 @@
 @then("a view is doubted after half of the tightest bound, and bounds of 2 s allow no relay")
 def step_view_age(context):
     """Check each bound that a change must keep."""
-    wide = routing.Bounds(config_apply_s=8.0, drain_s=8.0, evacuate_s=8.0, revoke_s=8.0)
+    wide = gatewaysettings.Bounds(config_apply_s=8.0, drain_s=8.0, evacuate_s=8.0, revoke_s=8.0)
     assert relays.max_view_age_s(wide) == 4.0
     for name in ("config_apply_s", "drain_s", "evacuate_s", "revoke_s"):
         assert relays.max_view_age_s(wide._replace(**{name: 3.0})) == 1.5, name
@@ -224,7 +224,7 @@
 @then("the view of a relay that has lost the store is doubted after a fifth of the tightest bound")
 def step_doubt_lost(context):
     """Check that the gateway asks the store itself long before the view is too old."""
-    wide = routing.Bounds(config_apply_s=8.0, drain_s=8.0, evacuate_s=8.0, revoke_s=8.0)
+    wide = gatewaysettings.Bounds(config_apply_s=8.0, drain_s=8.0, evacuate_s=8.0, revoke_s=8.0)
     for name in ("config_apply_s", "drain_s", "evacuate_s", "revoke_s"):
         bounds = wide._replace(**{name: 3.0})
         assert abs(relays.doubt_age_s(bounds, True) - 0.6) < 1e-9, name
--- a/features/support/gateway_data.py
+++ b/features/support/gateway_data.py
@@ -2,13 +2,13 @@
 
 import hypothesis
 
-from berylrock.core import routing
+from berylrock.core import gatewaysettings, routing
 from berylrock.ops import enginestate, enginework, pacing, selection
 
 property_settings = hypothesis.settings(
     max_examples=100, deadline=None, derandomize=True, database=None
 )
-BOUNDS = routing.Bounds()
+BOUNDS = gatewaysettings.Bounds()
 COLD_SERVICE = routing.Service("models", "/healthz", 300, 3.0, 18.0, 48, 1000, ())
 UNLIMITED_SHARES = pacing.RateShares(None, (), "")
 
--- a/features/support/relay_data.py
+++ b/features/support/relay_data.py
@@ -1,6 +1,6 @@
 """Makes records and settings of gateways for the steps on relays."""
 
-from berylrock.core import routing
+from berylrock.core import gatewaysettings, routing
 from berylrock.ops import relays
 
 ZONE = "etna-a"
@@ -14,7 +14,7 @@
 def make_settings(name, zone=ZONE, link_mbps=20.0):
     """Return the settings of a gateway."""
     nowhere = ("127.0.0.1", 1)
-    return routing.GatewaySettings(
+    return gatewaysettings.GatewaySettings(
         name=name,
         zone=zone,
         region="",
@@ -27,7 +27,7 @@
         memory_mb=0.0,
         link_mbps=link_mbps,
         heartbeat_s=1.2,
-        bounds=routing.Bounds(),
+        bounds=gatewaysettings.Bounds(),
     )
 
 
--- a/features/support/rolloutsim.py
+++ b/features/support/rolloutsim.py
@@ -8,12 +8,12 @@
 import random
 from typing import NamedTuple
 
-from berylrock.core import routing
+from berylrock.core import gatewaysettings, routing
 from berylrock.ops import baselines, rollouts, sampling, trials
 
 STEP_S = 0.1
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
-BOUNDS = routing.Bounds(canary_share=CANARY_SHARE, canary_margin=CANARY_MARGIN)
+BOUNDS = gatewaysettings.Bounds(canary_share=CANARY_SHARE, canary_margin=CANARY_MARGIN)
 # Bound on a bad version: bad answers after which it gets no more requests, some seconds later.
 MAX_BAD_ANSWERS, ROLLBACK_S = 50, 5.0
 # The simulation goes on for this long after the deadline.
