--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -346,4 +346,53 @@
         "    return False and",
         "A plain service's version that fails look",
     ),
+    Mutant(
+        "unexpected",
+        "daemons/gateway/attempt.py",
+        "        except Exception as exc:\n            self.log_error(exc)\n",
+        "        except ZeroDivisionError as exc:\n            self.log_error(exc)\n",
+        "An error before a read is written",
+    ),
+    Mutant(
+        "gone",
+        "daemons/gateway/callers.py",
+        "                if flow.may_be_cancelled:\n",
+        "                if False:\n",
+        "that waits for the end of the engines' pause",
+        (
+            Edit(
+                "daemons/gateway/sending.py",
+                "if self.caller_left or self.crashes_engines:",
+                "if self.crashes_engines:",
+            ),
+        ),
+    ),
+    Mutant(
+        "gone-entry",
+        "daemons/entry/placement.py",
+        "        if is_wanted():\n",
+        "        if True or is_wanted():\n",
+        "that wait for a server leave with their callers",
+    ),
+    Mutant(
+        "store-gap",
+        "ops/storegaps.py",
+        "        return self.is_open(now) or (self.last is not None and now < self.last.grace_until)",
+        "        return True",
+        "Most engines leave while only this gateway is cut off",
+    ),
+    Mutant(
+        "lapsed-share",
+        "ops/engineset.py",
+        "        return 2 * len(lapsed) >= len(self._states)\n",
+        "        return True\n",
+        "An engine leaves while no gateway hears the store",
+    ),
+    Mutant(
+        "reset",
+        "adapters/http1.py",
+        "        if self.has_open_request and not transport.is_closing():\n",
+        "        if False:\n",
+        "An engine learns by a reset that a read fails over",
+    ),
 )
