Share the end of unanswered requests between errors and the stop of the gateway

end_failed and end_stopped chose between two statuses in the same way; one function does it now. No change in behaviour; gateway_errors passes (23 scenarios).

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -7,14 +7,7 @@
 
 from berylrock.adapters import http1, listening
 from berylrock.core import errors, routing
-from berylrock.daemons.gateway import (
-    admitting,
-    context,
-    forwarding,
-    pool,
-    responding,
-    streaming,
-)
+from berylrock.daemons.gateway import admitting, context, forwarding, pool, responding, streaming
 from berylrock.ops import timeouts
 from berylrock.platform import translating
 
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -116,20 +116,22 @@
         """Send a final answer, if none has begun, after an error without any other handling."""
         if self.responder.begun:
             self.responder.abort(f"internal error: {exc!r}")
-        elif self.dispatcher.attempts_run:
-            await self.responder.refuse(502, f"internal error: {exc!r}")
         else:
-            await self.responder.refuse(503, f"internal error: {exc!r}", RETRY_AFTER_S)
+            await self._end_unanswered(502, f"internal error: {exc!r}")
 
     async def end_stopped(self) -> None:
         """Send a final answer, if none has begun, as the gateway stops before the request ends."""
         if self.responder.begun:
             return
         self.responder.closes = True
+        await self._end_unanswered(504, "gateway stopped")
+
+    async def _end_unanswered(self, status: int, reason: str) -> None:
+        """Send an error with this status, or a 503 if no engine can have run the request."""
         if self.dispatcher.attempts_run:
-            await self.responder.refuse(504, "gateway stopped")
+            await self.responder.refuse(status, reason)
         else:
-            await self.responder.refuse(503, "gateway stopped", RETRY_AFTER_S)
+            await self.responder.refuse(503, reason, RETRY_AFTER_S)
 
     def _retry_after_s(self) -> float:
         """Return when the caller should come back, spread over the time after that."""
