Wait for the end of a killed gateway without a bound, and run all cleanups of a scenario

All three failures are the hook after a scenario: a gateway that was sent SIGKILL had not ended 15 s later. The kernel's log shows the same minutes: workers of a processor stuck for 33 to 63 s, several times. The scenarios themselves had passed; the hook then left the other processes of the scenario running. Now it waits for the end itself, and the other cleanups run also if one fails. No check of the product is changed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Gives each scenario its own folder and stops its processes afterwards."""
 
+import contextlib
 import pathlib
 import shutil
 import sys
@@ -20,10 +21,11 @@
 
 def after_scenario(context, scenario):
     """Stop all processes; delete the folder with their logs if the scenario passed."""
-    for cleanup in context.cleanups:
-        cleanup()
-    if context.fleet is not None:
-        context.fleet.stop()
+    cleanups = [*context.cleanups, *([context.fleet.stop] if context.fleet is not None else [])]
+    with contextlib.ExitStack() as stack:
+        # They run in their order, and the others also if one fails.
+        for cleanup in reversed(cleanups):
+            stack.callback(cleanup)
     if hasattr(context, "pool"):
         context.pool.shutdown()
     if scenario.status != "passed":
--- a/features/support/platform/gatewayprocess.py
+++ b/features/support/platform/gatewayprocess.py
@@ -8,7 +8,6 @@
 import subprocess
 import sys
 
-TIMEOUT_S = 15.0
 _host_numbers = itertools.count(2)
 
 SETTINGS = """
@@ -116,4 +115,4 @@
         """Send the process SIGKILL, if it runs, and wait for its end."""
         if self.popen is not None and self.popen.poll() is None:
             self.popen.send_signal(signal.SIGKILL)
-            self.popen.wait(TIMEOUT_S)
+            self.popen.wait()
