--- a/features/support/platform/gatewayprocess.py
+++ b/features/support/platform/gatewayprocess.py
@@ -63,6 +63,7 @@
 
     Args:
       launcher: What Python runs, before the path of the settings.
+      code: Folder in which it runs, and from which a module is loaded; None for this process's.
     """
 
     def __init__(
@@ -77,12 +78,13 @@
         retry_extra=50,
         apply_ms=2000,
         launcher=("-m", "berylrock", "gateway"),
+        code=None,
     ):
         self.name, self.host = name, host
         self.port, self.ready_port, own_peer_port = free_ports(host, 3)
         self.peer_port = peer_port or own_peer_port
         self.popen = None
-        self._launcher = launcher
+        self._launcher, self._code = launcher, code
         self._root = root
         self._path = root / f"{name}.toml"
         self._path.write_text(
@@ -104,7 +106,7 @@
         """Start the process, also after an earlier one has ended."""
         command = [sys.executable, *self._launcher, str(self._path)]
         with open(self._root / f"{self.name}.log", "ab") as log:
-            self.popen = subprocess.Popen(command, stdout=log, stderr=log)
+            self.popen = subprocess.Popen(command, stdout=log, stderr=log, cwd=self._code)
 
     def log(self):
         """Return all that the process has logged, over all its starts."""
--- a/features/support/platform/rig.py
+++ b/features/support/platform/rig.py
@@ -2,7 +2,8 @@
 
 To run it by hand: ``make rig SEEDS=1-20 SIZE=ferrante``. Engines with an odd number are reached
 through a proxy, the others directly. ``--fault`` starts the gateways with a fault of
-``faultygateway``, to show that the checks notice it.
+``faultygateway``, to show that the checks notice it. ``--code`` names a checkout of another commit
+whose gateways are played.
 """
 
 import argparse
@@ -88,7 +89,7 @@
       disturbances: What was done to them, as ``rigchecks.Disturbance``.
     """
 
-    def __init__(self, root, size, seed, launcher=("-m", "berylrock", "gateway")):
+    def __init__(self, root, size, seed, launcher=("-m", "berylrock", "gateway"), code=None):
         self.root = pathlib.Path(root)
         self.rng = random.Random(seed)
         self.thread = loop.LoopThread()
@@ -102,7 +103,7 @@
         self._put("config", "main", make_config())
         peer_port = gatewayprocess.free_ports("127.0.0.1", 1)[0]
         for number in range(gateways):
-            self._add_gateway(f"entry-{number:02}", peer_port, launcher)
+            self._add_gateway(f"entry-{number:02}", peer_port, launcher, code)
         for service, count in (("models", models), ("plain", plain)):
             for _ in range(count):
                 self.add_engine(service)
@@ -110,7 +111,7 @@
     def _put(self, kind, name, spec):
         self.thread.run(self.store.put(kind, name, spec))
 
-    def _add_gateway(self, name, peer_port, launcher):
+    def _add_gateway(self, name, peer_port, launcher, code):
         link = self.store_links[name] = proxy.Proxy(self.store.port)
         self.thread.run(link.start())
         self.gateways[name] = gatewayprocess.GatewayProcess(
@@ -125,6 +126,7 @@
             ),
             apply_ms=rigfaults.APPLY_MS,
             launcher=launcher,
+            code=code,
         )
 
     def add_engine(self, service):
@@ -211,7 +213,7 @@
     return config
 
 
-def run(root, seed, seconds, size="small", fault="", mix="all"):
+def run(root, seed, seconds, size="small", fault="", mix="all", code=None):
     """Play one seed.
 
     Args:
@@ -221,6 +223,7 @@
       size: Key of ``SIZES``.
       fault: Key of ``faultygateway.PLACES``; empty for sound gateways.
       mix: Key of ``rigcalls.MIXES``.
+      code: Checkout whose gateways are played; None for this one's.
 
     Returns:
       The attempts, the runs, the disturbances and the descriptions of the breaches.
@@ -228,7 +231,7 @@
     launcher = ("-m", "berylrock", "gateway")
     if fault:
         launcher = (str(pathlib.Path(faultygateway.__file__)), fault)
-    rig = Rig(root, size, seed, launcher)
+    rig = Rig(root, size, seed, launcher, code)
     try:
         rig.start()
         callers = rigcalls.Callers(rig.gateways, random.Random(seed + 1), REQUESTS_PER_S[size], mix)
@@ -261,13 +264,14 @@
     parser.add_argument("--size", choices=sorted(SIZES), default="ferrante")
     parser.add_argument("--fault", choices=sorted(faultygateway.PLACES), default="")
     parser.add_argument("--mix", choices=sorted(rigcalls.MIXES), default="all")
+    parser.add_argument("--code", help="checkout of another commit, whose gateways are played")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         root = pathlib.Path(tempfile.mkdtemp(prefix=f"rig-{seed}-"))
         attempts, runs, disturbances, breaches = run(
-            root, seed, args.seconds, args.size, args.fault, args.mix
+            root, seed, args.seconds, args.size, args.fault, args.mix, args.code
         )
         done = sum(item.status == 200 and item.whole for item in attempts)
         counts = f"{len(attempts)} attempts, {done} answered, {len(runs)} runs"
