--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -6,7 +6,7 @@
 import sys
 
 from berylrock.adapters import http1
-from berylrock.daemons.gateway import admitting, attempt, process
+from berylrock.daemons.gateway import admitting, attempt, forwarding, process, responding
 from berylrock.platform import translating
 
 # Engines for whose requests the errors are raised.
@@ -55,6 +55,16 @@
     admitting.admit = admit
 
 
+def break_failed_end():
+    """Raise while a response is sent, and again while the error after that is answered."""
+
+    async def raise_always(self, *args):
+        raise RaisedByTest("raised while a request is answered")
+
+    responding.Responder.send_response = raise_always
+    forwarding.Forwarding.end_failed = raise_always
+
+
 def leave_open():
     """Leave connections to engines open whose requests are given up, for as long as they last."""
     close = http1.EngineConnection.close
@@ -72,6 +82,7 @@
     "after the write": lambda: break_read(1),
     "in the body": lambda: break_read(2),
     "while a request is admitted": break_admission,
+    "while a failed end is answered": break_failed_end,
 }
 
 
--- a/features/support/platform/rawengine.py
+++ b/features/support/platform/rawengine.py
@@ -49,6 +49,10 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=HEAD_BYTES)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def stop(self):
+        """Stop listening, so that new connections are refused."""
+        self._server.close()
+
     async def _serve(self, reader, writer):
         try:
             head = await reader.readuntil(b"\r\n\r\n")
