Log by what a refusal was recognised, and count the refusals that are believed

The reason of attempt_failed said "not run: 503" whether the refusal had the request's id or only the first place on its connection, which is what tells hypothesis 1 from the others in docs/incidents/twice-proofs.md. Counter: refusals_believed.

--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -268,7 +268,9 @@
             self.end()
         else:
             await self._drain_refusal(head)
-        return Failure(False, f"not run: {head.status}", paused=paused)
+        evidence = "by its id" if head.request_id else "as the first on its connection"
+        self._ctx.meter.count("refusals_believed")
+        return Failure(False, f"not run: {head.status}, {evidence}", paused=paused)
 
     async def _drain_refusal(self, head: translating.ResponseHead) -> None:
         """Read the rest of a refusal, so that its connection can be reused."""
