--- a/features/support/platform/gatewayprocess.py
+++ b/features/support/platform/gatewayprocess.py
@@ -8,7 +8,9 @@
 import subprocess
 import sys
 
-_host_numbers = itertools.count(2)
+_host_numbers = itertools.count()
+# Hosts of one network of the loopback range, and networks for one process after the other.
+HOSTS_PER_NETWORK, NETWORKS = 250, 250
 
 SETTINGS = """
 node-name = "{name}"
@@ -38,7 +40,9 @@
 
 def new_host():
     """Return a loopback address that no other fleet uses, in this or another test process."""
-    return f"127.0.{os.getpid() % 200 + 1}.{next(_host_numbers)}"
+    used, host = divmod(next(_host_numbers), HOSTS_PER_NETWORK)
+    pages, network = divmod(os.getpid(), NETWORKS)
+    return f"127.{(pages + 100 * used) % NETWORKS + 1}.{network + 1}.{host + 2}"
 
 
 def free_ports(host, count):
--- a/features/support/platform/rig.py
+++ b/features/support/platform/rig.py
@@ -99,7 +99,15 @@
         self.gateways, self.store_links, self.engines = {}, {}, {}
         self._numbers = itertools.count(1)
         self._busy = set()
-        gateways, models, plain = SIZES[size]
+        try:
+            self._build(SIZES[size], launcher, code)
+        except BaseException:
+            self.stop()
+            raise
+
+    def _build(self, counts, launcher, code):
+        """Write the configuration, prepare the gateways and start the engines."""
+        gateways, models, plain = counts
         self._put("config", "main", make_config())
         peer_port = gatewayprocess.free_ports("127.0.0.1", 1)[0]
         for number in range(gateways):
