Believe no refusal that does not name the request (TWICE, REFUSED)

What callers saw: an order runs at two engines, or is refused as not run although it runs. Cause: a refusal without an id counted as this request's if it was the first response on its connection. The place says nothing of the request: a proxy, or an engine with more than one connection, may send a copy of an earlier refusal there. Why this works: the id is the one thing in a response that only a reader of the request can know. ops/refusals.py is the one place that judges such claims. A request that has no id itself could not be told apart, and engines answer it 400: it is refused at once (400, no_request_id). Counters refusals_believed and refusals_doubted.

--- a/berylrock/daemons/gateway/admitting.py
+++ b/berylrock/daemons/gateway/admitting.py
@@ -85,6 +85,8 @@
     route = table.find_route(head.host, head.target)
     if route is None:
         return Refused(404, "no_route")
+    if not head.id:
+        return Refused(400, "no_request_id")
     organisation = table.find_organisation(head.key)
     if not table.may_call(organisation, route):
         return Refused(401, "unknown_key")
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -9,7 +9,7 @@
 from berylrock.adapters import http1
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context, noticing, pool
-from berylrock.ops import enginestate, enginework, timeouts
+from berylrock.ops import enginestate, enginework, refusals, timeouts
 from berylrock.platform import translating
 
 __all__ = ["TIMED_OUT", "Attempt", "DeadlineExceeded", "EngineTooSlow", "Failure", "OpenedResponse"]
@@ -237,25 +237,25 @@
         if head.request_id and head.request_id != self._req.head.id:
             return self._fail("response to another request")
         noticing.record(self._ctx, self.state, head)
-        if head.not_run and not self._is_own_refusal(head):
-            return self._fail("refusal that may be an earlier one's")
         if head.not_run:
-            if head.status != BAD_REQUEST:
-                self.state.health.record_busy(now, DEFAULT_BUSY_PAUSE_S)
-            return await self._end_refused(head)
+            return await self._check_refusal(head)
         if not head.signed or head.encoded or head.request_id != self._req.head.id:
             return self._fail(f"unsigned response {head.status}")
         self.state.begin_answer(self._work)
         self._work = 0.0
         return OpenedResponse(self, head, now)
 
-    def _is_own_refusal(self, head: translating.ResponseHead) -> bool:
-        """Tell whether a refusal belongs to this request, which may run if it does not.
-
-        Without an id, it may be one that the engine has sent before on the same connection.
-        """
-        assert self.conn is not None
-        return bool(head.request_id) or self.conn.responses_read == 0
+    async def _check_refusal(self, head: translating.ResponseHead) -> Failure:
+        """End an attempt whose engine says that the request did not run."""
+        doubt = refusals.find_doubt(head.request_id, self._req.head.id)
+        if doubt:
+            self._ctx.meter.count("refusals_doubted")
+            return self._fail(f"{doubt}: {head.status}")
+        self._ctx.meter.count("refusals_believed")
+        if head.status != BAD_REQUEST:
+            now = asyncio.get_running_loop().time()
+            self.state.health.record_busy(now, DEFAULT_BUSY_PAUSE_S)
+        return await self._end_refused(head)
 
     async def _end_refused(self, head: translating.ResponseHead) -> Failure:
         """End an attempt that the engine refused.
@@ -268,9 +268,7 @@
             self.end()
         else:
             await self._drain_refusal(head)
-        evidence = "by its id" if head.request_id else "as the first on its connection"
-        self._ctx.meter.count("refusals_believed")
-        return Failure(False, f"not run: {head.status}, {evidence}", paused=paused)
+        return Failure(False, f"not run: {head.status}", paused=paused)
 
     async def _drain_refusal(self, head: translating.ResponseHead) -> None:
         """Read the rest of a refusal, so that its connection can be reused."""
--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -121,6 +121,7 @@
     "configuration_too_old": "The gateway could not reach the store; see error= of store_lost.",
     "no_configuration": "The gateway had not received a configuration or the engine list yet.",
     "no_route": "No route of the configuration version config= has a prefix of this path.",
+    "no_request_id": "The request named no id, so that no answer could be told to be its own.",
     "unknown_key": "No organisation of the configuration version config= has this API key.",
     "crashes_engines": "Engines crashed while they ran the same request; see request_suspected.",
     "prompt_part_crashes_engines": (
--- a/features/gateway_not_run.feature
+++ b/features/gateway_not_run.feature
@@ -28,6 +28,12 @@
       | a closed connection       |
       | informational ones only   |
 
+  # Guards against requests whose refusals could not be told from those of others (TWICE).
+  Scenario: An order without an id is refused at once as a bad request
+    Given a gateway with a stand-in store and stand-in engines
+    When an order without an id is sent
+    Then it is refused with status 400, and no engine gets it
+
   # Guards against proofs that are passed over, so that callers are failed for nothing.
   @promise.not_run
   Scenario Outline: An order goes on to another engine after <proof>
--- a/features/steps/gateway_not_run_steps.py
+++ b/features/steps/gateway_not_run_steps.py
@@ -95,3 +95,17 @@
     """Check the answer; the engine did run the order."""
     assert len(context.gateway.runs("plain")) == 1
     assert context.answers[0].status in (0, 502), context.answers
+
+
+@when("an order without an id is sent")
+def step_no_id(context):
+    """Send it with an empty id."""
+    headers = [("X-Berylrock-Attempt-Id", "")]
+    context.result = context.gateway.send("POST", "/order/a", headers=headers, body=b"x")
+
+
+@then("it is refused with status 400, and no engine gets it")
+def step_bad_request(context):
+    """Check the answer and the engines."""
+    assert context.result.status == 400, context.result
+    assert not context.gateway.runs("plain")
