Take a response with different ids for nobody's (TWICE, REFUSED)

What callers saw: an order runs at two engines. Cause: the last of several id headers was read, so that a head which names two requests, as bytes of two responses that ran together do, passed as this request's refusal. Evidence: "a refusal with two ids" answered 200 from the second engine before, 502 now. Why this works: all different ids are kept, and none of them alone is the request's. It holds for successes as well, which share the check.

--- a/berylrock/platform/translating.py
+++ b/berylrock/platform/translating.py
@@ -28,7 +28,8 @@
 
     Attributes:
       status: HTTP status.
-      request_id: Id of the request, as echoed by the engine; empty if it is missing.
+      request_id: Id of the request, as echoed by the engine; empty if it is missing, and all of
+        them if there are different ones.
       signed: Whether the response has the engine's signature.
       not_run: Whether the engine states that it did not run the request.
       encoded: Whether the body has a content encoding, so that it is not the engine's own bytes.
@@ -64,6 +65,12 @@
     return fields.get(name, b"").decode("latin-1").strip()
 
 
+def _join_different(items: Headers, name: bytes) -> str:
+    """Return the value of a header; all of them, if it is repeated with different values."""
+    values = [value.decode("latin-1").strip() for key, value in items if key.lower() == name]
+    return ", ".join(dict.fromkeys(values))
+
+
 def _number(fields: dict[bytes, bytes], name: bytes) -> float | None:
     """Return the value of a header that holds a number, also an infinite one; None if not."""
     try:
@@ -195,7 +202,7 @@
     dropped = names.CONNECTION_HEADERS | _connection_options(fields)
     return ResponseHead(
         status=status,
-        request_id=_text(fields, names.REQUEST_ID),
+        request_id=_join_different(items, names.REQUEST_ID),
         signed=names.SIGNATURE in fields,
         not_run=names.NOT_RUN in fields or status == 421,
         encoded=fields.get(b"content-encoding", b"identity").lower() not in (b"", b"identity"),
