Believe a refusal only with a status that refuses (TWICE, REFUSED)

What callers saw: an order runs at two engines. Cause: the header that says "not run" was believed with any status, also a success or a failure, which say the contrary. Evidence: the two scenarios "... that says that it did not run" answered 200 from the second engine before, 502 now. Why this works: a claim that contradicts itself is no proof; the statuses are those with which engines refuse.

--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -247,7 +247,7 @@
 
     async def _check_refusal(self, head: translating.ResponseHead) -> Failure:
         """End an attempt whose engine says that the request did not run."""
-        doubt = refusals.find_doubt(head.request_id, self._req.head.id)
+        doubt = refusals.find_doubt(head.status, head.request_id, self._req.head.id)
         if doubt:
             self._ctx.meter.count("refusals_doubted")
             return self._fail(f"{doubt}: {head.status}")
