Send a request that may run once to an engine once (TWICE, REFUSED)

What callers could see: an order runs at two engines. Cause: an engine that refused an order and asked for a pause could get the same order again after it, and a copy of the first refusal, sent late by a proxy on another connection, bears the right id. Evidence: "An order that an engine has refused is not sent to it again" counted 10 sends before, now one. Callers are no worse off: they are told to come back after the first pause that ends, also of an engine that has refused them, and come back under a new id.

--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -141,7 +141,7 @@
 
     def _obstacle_left_s(self) -> float:
         """Return the seconds until an engine may get a request, if pauses or limits prevent it."""
-        obstacle = self.dispatcher.find_obstacle()
+        obstacle = self.dispatcher.find_obstacle_to_return()
         if obstacle is None:
             return 0.0
         if math.isinf(obstacle.ends_at):
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -149,18 +149,26 @@
         now = asyncio.get_running_loop().time()
         return notices.find_obstacle(self._untried(now), self._ctx.limit_shares(), now)
 
+    def find_obstacle_to_return(self) -> notices.Obstacle | None:
+        """Return when the first engine may get the request if its caller sends it anew."""
+        now = asyncio.get_running_loop().time()
+        return notices.find_obstacle(self._engines(now), self._ctx.limit_shares(), now)
+
     def sum_limits(self) -> float:
-        """Return the requests per second that the untried engines take from all gateways."""
-        untried = self._untried(asyncio.get_running_loop().time())
-        return enginelimits.sum_limits(item.notices.limit for item in untried)
+        """Return the requests per second that the engines take from all gateways together."""
+        engines = self._engines(asyncio.get_running_loop().time())
+        return enginelimits.sum_limits(item.notices.limit for item in engines)
 
     def _untried(self, now: float) -> list[enginestate.EngineState]:
         """Return the engines of the request's version that it was not sent to."""
+        return [item for item in self._engines(now) if item.engine.id not in self.tried]
+
+    def _engines(self, now: float) -> list[enginestate.EngineState]:
+        """Return the engines of the request's version."""
         table = self._ctx.table
         if table is None or self._req.service not in table.services:
             return []
-        states = self._group_of(self._choose_version(now)).states
-        return [item for item in states if item.engine.id not in self.tried]
+        return list(self._group_of(self._choose_version(now)).states)
 
     def _group_of(self, version: str | None) -> enginegroup.EngineGroup:
         """Return the engines of a version.
@@ -256,6 +264,13 @@
             self.attempts_run -= not result.may_have_run
             self.attempts_arrived -= not result.arrived
             self.last_reason = result.reason
-            if result.paused:
+            if result.paused and self._may_return_after(result):
                 self.tried.discard(state.engine.id)
         return result
+
+    def _may_return_after(self, failure: attempt.Failure) -> bool:
+        """Tell whether the request may be sent to the engine of this attempt again.
+
+        A second refusal of one request could not be told from a copy of the first one.
+        """
+        return not failure.arrived or routing.is_repeatable(self._req.route)
