Do not refuse an order as not run after an error in its failed end (REFUSED)

What callers saw: 503, not run, for an order that an engine had run. Cause: an error while a failed end was answered left the part that knows whether an engine may have got the request, and the connection's task answered 503 for it. Evidence: "An error while the end of an order is answered ..." got 503 before, and now an end of its connection without an answer, which promises nothing. Why this works: only the request's own flow, which counts its sends, may say that it has not run; after it, the connection only ends.

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -264,16 +264,33 @@
             streaming.StreamForwarding if req.route.kind == "stream" else forwarding.Forwarding
         )
         flow = flow_class(self._ctx, self._conns, req, responder)
+        try:
+            await self._run_to_end(conn, flow)
+        finally:
+            flow.release_body()
+            self._log_done(flow, received_at)
+
+    async def _run_to_end(self, conn: http1.CallerConnection, flow: forwarding.Forwarding) -> None:
+        """Run a request; after an error it ends with an answer that is true, or with none.
+
+        Whoever called this must not answer in its place, as an engine may have got the request.
+        """
         try:
             await self._run(conn, flow)
-        except http1.CallerGone:
+        except OSError:
             raise
         except Exception as exc:
-            self._log_error(head.id, exc)
+            self._log_error(flow.req.head.id, exc)
+            await self._end_failed(flow, exc)
+
+    async def _end_failed(self, flow: forwarding.Forwarding, exc: Exception) -> None:
+        try:
             await flow.end_failed(exc)
-        finally:
-            flow.release_body()
-            self._log_done(flow, received_at)
+        except OSError:
+            raise
+        except Exception as second:
+            self._log_error(flow.req.head.id, second)
+            flow.responder.abort(f"internal error: {second!r}")
 
     def _may_outlast_stop(self, req: routing.Request) -> bool:
         """Tell whether a request that came late in the grace time might be cut at its end."""
