--- a/features/gateway_hostile.feature
+++ b/features/gateway_hostile.feature
@@ -20,6 +20,14 @@
       | event                   |
       | body of an error        |
 
+  # Guards against one engine's endless bodies that take the memory for the answers of all others (LOST).
+  @promise.answer
+  Scenario: Endless answers of one engine leave room for the answers of the others
+    Given a gateway with 4 sound plain engines and one whose successes never end
+    When 120 reads a second are sent for 6 s, and orders to the sound engines besides
+    Then every read is answered by a sound engine, and every order too
+    And the endless engine was asked, and the memory of the gateway grew by less than 24 MB
+
   Scenario Outline: A stream that stalls with <bytes> now and then is resumed elsewhere
     Given a gateway and an engine of the models that sends "<bytes>" now and then
     When 1 chats are sent at the same time
--- a/features/steps/gateway_hostile_steps.py
+++ b/features/steps/gateway_hostile_steps.py
@@ -56,6 +56,67 @@
     start_with_raw_engine(context, ENDLESS[part])
 
 
+ENDLESS_SUCCESS = rawengine.Script(
+    b"HTTP/1.1 200 OK\r\nX-Berylrock-Attempt-Id: {id}\r\nX-Berylrock-Response-Signature: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n",
+    b"10000\r\n" + b"x" * 65_536 + b"\r\n",
+    0.02,
+)
+
+
+@given("a gateway with {count:d} sound plain engines and one whose successes never end")
+def step_endless_success(context, count):
+    """Start a gateway whose sound engines also serve the orders; the endless one gets none."""
+    scenario.start_gateway(context, plain=count, models=1)
+    running = context.gateway
+    config = fleet.make_config(2)
+    route = fleet.make_route("order", "/order/", "non_idempotent", "orders")
+    config["routes"] = [item for item in config["routes"] if item["name"] != "order"] + [route]
+    config["backends"].append(config["backends"][0] | {"name": "orders"})
+    running.put("config", "main", config)
+    for number in range(count):
+        running.add_engine(f"orders-{number}", "orders")
+    context.raw = rawengine.RawEngine(ENDLESS_SUCCESS)
+    running.thread.run(context.raw.start())
+    entry = fleet.make_entry("plain", f"127.0.0.1:{context.raw.port}")
+    running.put("servers", "plain-raw", entry)
+    running.wait(lambda: "engine=plain-raw" in running.log(), "the gateway knows the engine")
+    running.wait(lambda: running.send("POST", "/order/a", body=b"x").status == 200, "orders go")
+    context.memory = read_memory(context)
+
+
+@when("{rate:d} reads a second are sent for {seconds:g} s, and orders to the sound engines besides")
+def step_send_rate(context, rate, seconds):
+    """Send them at even pauses, an order after every tenth read."""
+    running = context.gateway
+
+    async def send_all():
+        reads, orders, begun = [], [], time.monotonic()
+        for number in range(int(rate * seconds)):
+            await asyncio.sleep(max(0.0, begun + number / rate - time.monotonic()))
+            reads.append(asyncio.create_task(running.send_async()))
+            if number % 10 == 0:
+                order = running.send_async("POST", "/order/a", body=b"x")
+                orders.append(asyncio.create_task(order))
+        return await asyncio.gather(*reads), await asyncio.gather(*orders)
+
+    context.reads, context.orders = running.thread.run(send_all(), seconds + 30.0)
+
+
+@then("every read is answered by a sound engine, and every order too")
+def step_all_sound(context):
+    """Check the answers."""
+    for item in [*context.reads, *context.orders]:
+        assert item.status == 200 and item.whole, (item, context.gateway.log()[-3000:])
+
+
+@then("the endless engine was asked, and the memory of the gateway grew by less than {limit:d} MB")
+def step_endless_asked(context, limit):
+    """Check that the scenario played what it says."""
+    assert context.raw.requests > 1, context.raw.requests
+    step_memory(context, limit)
+
+
 @given('a gateway and an engine of the models that sends "{part}" now and then')
 def step_trickle(context, part):
     """Start them; the other engine is in another zone, so the scripted one is chosen first."""
--- a/features/steps/process_error_steps.py
+++ b/features/steps/process_error_steps.py
@@ -7,17 +7,16 @@
 from aiohttp import test_utils
 from behave import given, then, when
 from support.platform import rawengine
+from support.sidecars import TIMEOUT_S, make_runner
 
-from berylrock.adapters import backend, interfaces
+from berylrock.adapters import backend
 from berylrock.core import message, metrics
 from berylrock.daemons.entry import callers, outcome, request
-from berylrock.daemons.sidecar import runner
 from berylrock.ops import runs
 
 SENSELESS = rawengine.Script(
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {no event\n\n", closes=True
 )
-TIMEOUT_S = 2.0
 
 
 class RaisingEngine:
@@ -32,52 +31,6 @@
         """Close nothing."""
 
 
-class PollResult:
-    """State of a server that answers its polls."""
-
-    reachable = True
-    report = interfaces.LoadReport("one", ("m@v1",))
-
-    def __init__(self, server):
-        self.server = server
-        self.warmup = types.SimpleNamespace(pool=types.SimpleNamespace(kind="engine"))
-
-    async def has_crashed(self, incarnation):
-        """Tell that it has not."""
-        return False
-
-
-class Places:
-    """Admission that lets everything in and counts what runs."""
-
-    def __init__(self):
-        self.running = set()
-
-    async def acquire(self, start):
-        """Let it run."""
-        self.running.add(start.attempt)
-
-    def release(self, attempt):
-        """Take its place back."""
-        self.running.discard(attempt)
-
-
-def make_runner(server):
-    """Return a runner for a server, with nothing around it that matters here."""
-    log = types.SimpleNamespace(write=lambda name, **fields: None)
-    process = types.SimpleNamespace(
-        config=types.SimpleNamespace(version=1, doc=None),
-        strikes=None,
-        log=log,
-        meter=metrics.Metrics("", "test"),
-    )
-    cfg = types.SimpleNamespace(max_queue=1, stall_seconds=TIMEOUT_S, name="sidecar", pool="m")
-    made = runner.Runner(cfg, process, PollResult(server))
-    made.admission = Places()
-    made.check = lambda start: None
-    return made
-
-
 @given("a sidecar whose server is one that raises an error of no known kind")
 def step_raising(context):
     """Keep how to make the server."""
--- a/features/support/platform/rawengine.py
+++ b/features/support/platform/rawengine.py
@@ -34,6 +34,7 @@
       script: The answer.
       requests: Number of requests so far.
       closed: Number of connections that the other side has closed.
+      sent_bytes: Bytes that were repeated so far, over all connections.
       port: Port on which the engine listens; 0 before ``start``.
     """
 
@@ -41,6 +42,7 @@
         self.script = script
         self.requests = 0
         self.closed = 0
+        self.sent_bytes = 0
         self.port = 0
         self._server = None
 
@@ -76,6 +78,7 @@
         while script.repeat and (script.count is None or sent < script.count):
             writer.write(script.repeat)
             await writer.drain()
+            self.sent_bytes += len(script.repeat)
             await asyncio.sleep(script.pause_s)
             sent += 1
         writer.write(script.end)
