Let the largest body give way when bodies take all the memory for them (LOST)

What callers saw: 502 for reads, and for orders that had run, while one engine of a plain service sent successes without end; failing over took up to 2.6 s. Cause: a body that was given up was counted until its request ended, so one such body filled the budget of all; the sound answers that came meanwhile were thrown away, and counted as failures of their engines. Why this works: what gives way is the largest body that is still being received, and it returns its bytes at once; whole ones stay, an answer that can't be had again goes last, the first 4 KB of any body are free, and one body gets half at most. An engine for whose response there is no memory is paused for half a second, not taken for one that has failed. adapters/bodies.py is the one reader of bodies; callers' bodies are read by it as well. The check of the budget was rewritten for the new type, with the same bounds, and five decisions were added.

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -5,10 +5,10 @@
 
 import h11
 
-from berylrock.adapters import http1, listening
+from berylrock.adapters import bodies, http1, listening
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import admitting, context, forwarding, pool, responding, streaming
-from berylrock.ops import timeouts
+from berylrock.ops import buffering, timeouts
 from berylrock.platform import translating
 
 __all__ = ["Callers"]
@@ -28,10 +28,6 @@
 STOP_RETRY_AFTER_S = 0.1
 
 
-class _BuffersFull(errors.BerylrockError):
-    """The bodies that are held leave no room for another one."""
-
-
 class Callers:
     """Accepts callers' connections and serves their requests."""
 
@@ -191,50 +187,43 @@
         responder = responding.Responder(conn, head.id, self._closing or self._ctx.stopping)
         # The caller's deadline runs while its body is being received.
         received_at = asyncio.get_running_loop().time()
+        body = buffering.Body(self._ctx.buffers, limits.body_bytes)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await self._read_body(conn, limits.body_bytes)
+                data = await self._read_body(conn, body)
         except TimeoutError:
             return await self._reject(conn, 408, "body was not received in time")
         except h11.RemoteProtocolError as exc:
             return await self._reject(conn, 400, f"bad body: {exc}")
-        except _BuffersFull:
+        except buffering.BodyGivenUp:
             return await self._reject(conn, 503, "too many large bodies at the same time")
-        if body is None:
-            return False
-        if len(body) > limits.body_bytes:
-            self._ctx.buffers.release(len(body))
+        except buffering.BodyTooLarge:
             return await self._reject(conn, 413, "body is too large")
+        if data is None:
+            return False
         try:
-            await self._respond(conn, head, body, received_at, responder)
+            await self._respond(conn, head, data, received_at, responder)
         finally:
-            self._ctx.buffers.release(len(body))
+            body.release()
         if responder.closes or not responder.begun:
             return False
         return True
 
-    async def _read_body(self, conn: http1.CallerConnection, limit: int) -> bytes | None:
-        """Read the body of a request; None if the caller disconnected before its end.
-
-        Reading stops once the body is larger than the limit, in bytes. The bytes of a body that is
-        returned were taken from the budget for bodies.
-        """
-        body = bytearray()
-        complete = False
-        try:
-            while not complete:
-                event = await conn.next_event()
-                if isinstance(event, h11.Data):
-                    if not self._ctx.buffers.take(len(event.data)):
-                        raise _BuffersFull("too many large bodies; the caller may try again")
-                    body += event.data
-                elif not isinstance(event, h11.EndOfMessage):
-                    return None
-                complete = isinstance(event, h11.EndOfMessage) or len(body) > limit
-            return bytes(body)
-        finally:
-            if not complete:
-                self._ctx.buffers.release(len(body))
+    async def _read_body(self, conn: http1.CallerConnection, body: buffering.Body) -> bytes | None:
+        """Read the body of a request; None if the caller disconnected before its end."""
+        ended = False
+
+        async def next_data() -> bytes:
+            nonlocal ended
+            event = await conn.next_event()
+            ended = isinstance(event, h11.EndOfMessage)
+            return bytes(event.data) if isinstance(event, h11.Data) else b""
+
+        data = await bodies.read(body, next_data)
+        if ended:
+            return data
+        body.release()
+        return None
 
     async def _reject(self, conn: http1.CallerConnection, status: int, reason: str) -> bool:
         """Refuse an invalid request and close the connection; returns False."""
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -144,7 +144,7 @@
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
         self.budgets: dict[str, budget.WindowBudget] = {}
-        self.buffers = buffering.BufferBudget(cfg.memory_mb)
+        self.buffers = buffering.BufferBudget(buffering.budget_bytes(cfg.memory_mb))
         self.baselines = baselines.LatencyBaselines()
         self.latency_estimator = latency.LatencyEstimator()
         self.load_view = loadview.LoadView()
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -5,14 +5,24 @@
 
 import h11
 
-from berylrock.adapters import http1
+from berylrock.adapters import bodies, http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import admitting, attempt, context, pool, responding, sending
-from berylrock.ops import baselines, enginestate, evidence, notices, rollouts, timeouts
+from berylrock.ops import (
+    baselines,
+    buffering,
+    enginestate,
+    evidence,
+    notices,
+    rollouts,
+    timeouts,
+)
 
 __all__ = ["Forwarding"]
 
 MAX_RESPONSE_BYTES = 8_388_608
+# Pause for an engine for whose responses there is no memory.
+NO_MEMORY_PAUSE_S = 0.5
 OK, NO_CONTENT, MULTIPLE_CHOICES, SERVER_ERROR = 200, 204, 300, 500
 # Time between two looks for an engine that is free, and while all of them want a pause or are at
 # their limits, in seconds.
@@ -44,7 +54,7 @@
         self.ctx = ctx
         self.req = req
         self.responder = responder
-        self._held = 0
+        self._body: buffering.Body | None = None
         self._errors = evidence.RequestErrors()
 
     @property
@@ -244,18 +254,12 @@
         self._log_attempt_failed(opened.attempt.state, f"answered {status}", True)
         return True
 
-    def _hold(self, size: int) -> None:
-        """Take bytes of the budget for bodies; raises ``ResponseBroken`` if none are left."""
-        if not self.ctx.buffers.take(size):
-            raise http1.ResponseBroken("too many large bodies at the same time")
-        self._held += size
-
     def release_body(self) -> None:
-        """Give back the bytes of the bodies that were read for this request."""
-        self.ctx.buffers.release(self._held)
-        self._held = 0
+        """Give back the bytes of the body that was read for this request."""
+        if self._body is not None:
+            self._body.release()
 
-    def _check_end(self, opened: attempt.OpenedResponse, body: bytearray) -> None:
+    def _check_end(self, opened: attempt.OpenedResponse, body: bytes) -> None:
         """Raise ``ResponseBroken`` if a body that has ended may have been cut before its begin.
 
         A connection that closes right after the head of a success, which names no length, looks the
@@ -268,35 +272,58 @@
 
     async def _read_body(self, opened: attempt.OpenedResponse) -> bytes | None:
         """Read the body of a response; None if it is incomplete."""
-        body = bytearray()
         first_part_s = opened.at - opened.attempt.sent_at
         try:
-            while True:
-                part = await opened.attempt.next_part(None)
-                if isinstance(part, h11.EndOfMessage):
-                    self._check_end(opened, body)
-                    break
-                if isinstance(part, h11.Data):
-                    self._hold(len(part.data))
-                    body += part.data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise http1.ResponseBroken("body is too large")
-        except (attempt.DeadlineExceeded, http1.ResponseBroken) as exc:
+            body = await self._collect(opened)
+            self._check_end(opened, body)
+        except buffering.BodyGivenUp as exc:
+            self._end_given_up(opened, exc)
+            return None
+        except (attempt.DeadlineExceeded, http1.ResponseBroken, buffering.BodyTooLarge) as exc:
             if isinstance(exc, http1.ResponseBroken):
                 opened.attempt.record_broken()
-            self.dispatcher.last_reason = f"incomplete response: {exc}"
-            self.record_result(opened, False, first_part_s)
-            opened.attempt.end()
+            self._end_incomplete(opened, f"incomplete response: {exc}", first_part_s)
             return None
         except asyncio.CancelledError:
             opened.attempt.end()
             raise
         except Exception as exc:
             opened.attempt.log_error(exc)
-            self.dispatcher.last_reason = f"internal error: {exc!r}"
-            self.record_result(opened, False, first_part_s)
-            opened.attempt.end()
+            self._end_incomplete(opened, f"internal error: {exc!r}", first_part_s)
             return None
         self.record_result(opened, opened.head.status < SERVER_ERROR, first_part_s)
         opened.attempt.end_complete(opened.head)
-        return bytes(body)
+        return body
+
+    async def _collect(self, opened: attempt.OpenedResponse) -> bytes:
+        """Read the body of a response within the limits on bodies."""
+        self.release_body()
+        buffers = self.ctx.buffers
+        limit = min(MAX_RESPONSE_BYTES, buffers.max_body_bytes)
+        self._body = buffering.Body(buffers, limit, routing.is_repeatable(self.req.route))
+
+        async def next_data() -> bytes:
+            part = await opened.attempt.next_part(None)
+            return bytes(part.data) if isinstance(part, h11.Data) else b""
+
+        return await bodies.read(self._body, next_data)
+
+    def _end_incomplete(
+        self, opened: attempt.OpenedResponse, reason: str, first_part_s: float
+    ) -> None:
+        """End an attempt whose engine sent no complete response."""
+        self.dispatcher.last_reason = reason
+        self.record_result(opened, False, first_part_s)
+        opened.attempt.end()
+
+    def _end_given_up(self, opened: attempt.OpenedResponse, exc: buffering.BodyGivenUp) -> None:
+        """End an attempt for whose response this process lacks the memory.
+
+        The engine may be sound, so that it is paused, and not taken for one that has failed.
+        """
+        self.dispatcher.last_reason = f"response given up: {exc}"
+        self.ctx.meter.count("bodies_given_up")
+        state = opened.attempt.state
+        state.health.record_busy(self.now, NO_MEMORY_PAUSE_S)
+        self._log_attempt_failed(state, self.dispatcher.last_reason, True)
+        opened.attempt.end()
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -75,6 +75,14 @@
 
   Scenario: Many large bodies arrive at the same time
     Then bodies take no more memory together than the budget, and return it
+    And a body is given up at its own limit, and one body takes half of the budget at most
+
+  # Guards against an endless body for which the answers of others are thrown away (LOST).
+  Scenario: Bodies without end arrive beside small and large sound ones
+    Then the largest body that is still being received gives way, and returns its bytes at once
+    And a body that outgrows all others gives way itself, and whole ones never do
+    And an answer that cannot be had again gives way after larger parts of others
+    And a small answer fits although whole ones have taken all
 
   Scenario: Half the engines are slow
     Given 6 engines of which 3 answer slowly
--- a/features/steps/gateway_work_steps.py
+++ b/features/steps/gateway_work_steps.py
@@ -112,13 +112,109 @@
     assert timeouts.should_abandon(10.7, 10.0, 10.0, early)
 
 
+def fill(budget, size, count=300):
+    """Return whole bodies of a size, as many as the budget takes."""
+    whole = []
+    for _ in range(count):
+        body = buffering.Body(budget, size)
+        try:
+            body.add(bytes(size))
+            body.finish()
+        except buffering.BodyGivenUp:
+            break
+        whole.append(body)
+    return whole
+
+
 @then("bodies take no more memory together than the budget, and return it")
 def step_budget(context):
     """Take bodies until the budget is used up, then release one."""
-    budget = buffering.BufferBudget(200.0)
+    budget = buffering.BufferBudget(buffering.budget_bytes(200.0))
+    size = buffering.BYTES_PER_MB
+    whole = fill(budget, size)
+    assert 8 <= len(whole) <= 40, len(whole)
+    assert budget.held == len(whole) * size
+    whole[0].release()
+    assert len(fill(budget, size)) == 1 and budget.held == len(whole) * size
+
+
+@then("the largest body that is still being received gives way, and returns its bytes at once")
+def step_largest(context):
+    """Let a body grow without end beside small ones that come after it."""
+    budget = buffering.BufferBudget(buffering.budget_bytes(0.0))
+    size = buffering.BYTES_PER_MB
+    endless = buffering.Body(budget, budget.limit)
+    for _ in range(8):
+        endless.add(bytes(size))
+    assert budget.held == budget.limit
+    sound = buffering.Body(budget, size)
+    sound.add(bytes(100_000))
+    assert sound.finish() == bytes(100_000)
+    assert endless.given_up and budget.held == 100_000, budget.held
+    for use in (lambda: endless.add(b"x"), endless.finish):
+        try:
+            use()
+            raise AssertionError("a body that was given up goes on")
+        except buffering.BodyGivenUp:
+            pass
+
+
+@then("a body that outgrows all others gives way itself, and whole ones never do")
+def step_outgrows(context):
+    """Fill the budget with whole bodies, and with one that grows beside a smaller one."""
+    budget = buffering.BufferBudget(buffering.budget_bytes(0.0))
+    size = buffering.BYTES_PER_MB
+    whole = fill(budget, size, 6)
+    small, growing = (buffering.Body(budget, budget.limit) for _ in range(2))
+    small.add(bytes(size // 2))
+    try:
+        for _ in range(8):
+            growing.add(bytes(size // 2))
+        raise AssertionError("it takes more than there is")
+    except buffering.BodyGivenUp:
+        pass
+    assert small.finish() == bytes(size // 2)
+    assert not any(body.given_up for body in whole)
+
+
+@then("an answer that cannot be had again gives way after larger parts of others")
+def step_irreplaceable(context):
+    """Let an answer to an order meet smaller bodies of reads, and grow without end itself."""
+    budget = buffering.BufferBudget(buffering.budget_bytes(0.0))
     size = buffering.BYTES_PER_MB
-    taken = sum(budget.take(size) for _ in range(300))
-    assert 8 <= taken <= 40, taken
-    assert not budget.take(size)
-    budget.release(size)
-    assert budget.take(size) and budget.held == taken * size
+    order = buffering.Body(budget, 2 * budget.limit, replaceable=False)
+    order.add(bytes(3 * size))
+    reads = [buffering.Body(budget, size) for _ in range(5)]
+    for read in reads:
+        read.add(bytes(size))
+    late = buffering.Body(budget, size)
+    late.add(bytes(size // 2))
+    assert not order.given_up and sum(read.given_up for read in reads) == 1
+    order.add(bytes(4 * size))
+    assert not order.given_up
+    last = buffering.Body(budget, size)
+    last.add(bytes(size * 3 // 5))
+    assert order.given_up and not late.given_up
+
+
+@then("a small answer fits although whole ones have taken all")
+def step_small(context):
+    """Fill the budget, then take bodies of the size of an order's answer."""
+    budget = buffering.BufferBudget(buffering.budget_bytes(0.0))
+    assert len(fill(budget, buffering.BYTES_PER_MB)) == 8
+    assert len(fill(budget, 800, 50)) == 50
+
+
+@then("a body is given up at its own limit, and one body takes half of the budget at most")
+def step_own_limit(context):
+    """Let a body grow past its limit."""
+    budget = buffering.BufferBudget(buffering.budget_bytes(0.0))
+    body = buffering.Body(budget, 10_000)
+    body.add(bytes(10_000))
+    try:
+        body.add(b"x")
+        raise AssertionError("it is larger than its limit")
+    except buffering.BodyTooLarge:
+        pass
+    assert budget.held == 0
+    assert budget.max_body_bytes * 2 <= budget.limit
