Bound what a sidecar takes of its server's bytes (LOST)

What callers see: the sidecar's process, and all requests that it runs, end when a faulty engine sends bytes without end: 1.4 GB of an error's body in 8 s, the same of the response to an order, 160 to 300 MB of a load report; an event line without end made each read search all bytes again. Cause: bodies were read whole by the library, without a limit or a time, and answers had a limit each and none together. Why this works: every body goes through adapters/bodies.py with a limit, a time and the budget of all (32 MB; the largest gives way); lines have a limit, count in the budget, and each byte is searched once; of an error only the first 4 KB are read.

--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -13,14 +13,21 @@
 import msgspec
 import yarl
 
-from berylrock.adapters import interfaces
+from berylrock.adapters import bodies, interfaces
 from berylrock.core import message
+from berylrock.ops import buffering, lines
 
 __all__ = ["HttpEngine", "HttpPlainServer"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REPORT_TIMEOUT_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 60.0
+# Longest time from the head of a response to its end, where its text only describes the outcome.
+TEXT_TIMEOUT_SECONDS = 1.0
+MAX_REPORT_BYTES = 262_144
+MAX_TEXT_BYTES = 4096
+MAX_EVENT_LINE_BYTES = 262_144
+ERROR_DETAIL_CHARACTERS = 200
 RECEIVE_BUFFER_BYTES = 32_768
 END_MARKER = b"[DONE]"
 DATA_PREFIX = b"data: "
@@ -88,21 +95,17 @@
     )
 
 
-async def _fetch_load_report(session: aiohttp.ClientSession, url: str) -> interfaces.LoadReport:
-    timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_SECONDS)
-    try:
-        async with session.get(url, timeout=timeout) as resp:
-            found = msgspec.json.decode(await resp.read(), type=_Report)
-    except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as exc:
-        raise _unreachable_error(exc) from exc
-    return interfaces.LoadReport(**msgspec.structs.asdict(found))
-
-
 class HttpEngine:
-    """Client for a model engine with an OpenAI-compatible interface."""
+    """Client for a model engine with an OpenAI-compatible interface.
 
-    def __init__(self, base_url: str) -> None:
+    Args:
+      base_url: URL of the engine.
+      buffers: Budget for what is received from it.
+    """
+
+    def __init__(self, base_url: str, buffers: buffering.BufferBudget) -> None:
         self._base = base_url.rstrip("/")
+        self._buffers = buffers
         self._session = _open_session()
 
     async def run(
@@ -137,26 +140,32 @@
             raise _lost_error(exc) from exc
         try:
             if resp.status != 200:
-                raise interfaces.BackendError(resp.status, (await resp.text())[:200])
-            async for item in self._read_events(resp):
-                yield item
+                raise interfaces.BackendError(resp.status, await self._read_error(resp))
+            splitter = lines.LineSplitter(buffering.Hold(self._buffers), MAX_EVENT_LINE_BYTES)
+            try:
+                async for item in self._read_events(resp, splitter):
+                    yield item
+            finally:
+                splitter.close()
         finally:
             resp.close()
 
+    async def _read_error(self, resp: aiohttp.ClientResponse) -> str:
+        """Read the begin of an error's text; what is wrong with it, if it cannot be read."""
+        body = buffering.Body(self._buffers, MAX_TEXT_BYTES)
+        try:
+            async with asyncio.timeout(TEXT_TIMEOUT_SECONDS):
+                data = await bodies.read_start(body, resp.content.readany, MAX_TEXT_BYTES)
+            return data.decode("utf-8", "replace")[:ERROR_DETAIL_CHARACTERS]
+        except (aiohttp.ClientError, OSError, TimeoutError, buffering.BodyGivenUp) as exc:
+            return f"its text cannot be read: {type(exc).__name__}: {exc}"
+
     async def _read_events(
-        self, resp: aiohttp.ClientResponse
+        self, resp: aiohttp.ClientResponse, splitter: lines.LineSplitter
     ) -> AsyncIterator[interfaces.StreamChunk | interfaces.KeepAlive | interfaces.StreamEnd]:
-        incomplete_line = b""
         usage = _Usage()
         while True:
-            try:
-                data = await resp.content.readany()
-            except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-                raise _lost_error(exc) from exc
-            if not data:
-                raise interfaces.BackendLost("engine closed the stream without the end marker")
-            *lines, incomplete_line = (incomplete_line + data).split(b"\n")
-            for line in lines:
+            for line in await self._read_lines(resp, splitter):
                 if not line.startswith(DATA_PREFIX):
                     if line:
                         yield interfaces.KeepAlive()
@@ -172,9 +181,37 @@
                 if bytes(event.choices) != b"[]":
                     yield interfaces.StreamChunk(bytes(event.choices))
 
+    async def _read_lines(
+        self, resp: aiohttp.ClientResponse, splitter: lines.LineSplitter
+    ) -> list[bytes]:
+        """Wait for data; returns the lines that it completes, and raises ``BackendLost``."""
+        try:
+            data = await resp.content.readany()
+            found = splitter.feed(data)
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise _lost_error(exc) from exc
+        except (lines.LineTooLong, buffering.BodyGivenUp) as exc:
+            raise interfaces.BackendLost(f"engine sent an event that was given up: {exc}") from exc
+        if not data:
+            raise interfaces.BackendLost("engine closed the stream without the end marker")
+        return found
+
     async def load_report(self) -> interfaces.LoadReport:
         """Fetch the engine's load report; raises ``BackendUnreachable``."""
-        return await _fetch_load_report(self._session, f"{self._base}/load")
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_SECONDS)
+        body = buffering.Body(self._buffers, MAX_REPORT_BYTES)
+        try:
+            async with self._session.get(f"{self._base}/load", timeout=timeout) as resp:
+                data = await bodies.read(body, resp.content.readany)
+            found = msgspec.json.decode(data, type=_Report)
+        except (
+            *(aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError),
+            *(buffering.BodyTooLarge, buffering.BodyGivenUp),
+        ) as exc:
+            raise _unreachable_error(exc) from exc
+        finally:
+            body.release()
+        return interfaces.LoadReport(**msgspec.structs.asdict(found))
 
     async def order(self, order: message.Order) -> tuple[bool, str]:
         """Send an order to the engine.
@@ -185,15 +222,26 @@
         Returns:
           Whether the engine accepted the order, and the text of its response or the error.
         """
-        body = msgspec.json.encode(order._asdict())
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_SECONDS)
+        body = buffering.Body(self._buffers, MAX_TEXT_BYTES)
         try:
-            async with self._session.post(
-                f"{self._base}/orders", data=body, timeout=timeout
-            ) as resp:
-                return resp.status == 200, await resp.text()
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            async with (
+                self._session.post(
+                    f"{self._base}/orders",
+                    data=msgspec.json.encode(order._asdict()),
+                    timeout=timeout,
+                ) as resp,
+                asyncio.timeout(TEXT_TIMEOUT_SECONDS),
+            ):
+                text = await bodies.read(body, resp.content.readany)
+            return resp.status == 200, text.decode("utf-8", "replace")
+        except (
+            *(aiohttp.ClientError, OSError, TimeoutError),
+            *(buffering.BodyTooLarge, buffering.BodyGivenUp),
+        ) as exc:
             return False, f"engine did not respond to the order: {exc}"
+        finally:
+            body.release()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -207,12 +255,12 @@
         self._base = base_url.rstrip("/")
         self._session = _open_session()
 
-    async def call(self, start: message.Start, max_bytes: int) -> interfaces.ServiceResponse:
+    async def call(self, start: message.Start, body: buffering.Body) -> interfaces.ServiceResponse:
         """Pass a call on exactly once, with the caller's method, path, headers and body.
 
         Args:
           start: The call.
-          max_bytes: Largest body of an answer.
+          body: Collects the body of the answer; it stays counted until it is released.
 
         Returns:
           The answer.
@@ -235,29 +283,25 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise _lost_error(exc) from exc
         try:
-            return await self._read_answer(resp, max_bytes)
+            return await self._read_answer(resp, body)
         finally:
             resp.close()
 
     async def _read_answer(
-        self, resp: aiohttp.ClientResponse, max_bytes: int
+        self, resp: aiohttp.ClientResponse, body: buffering.Body
     ) -> interfaces.ServiceResponse:
-        body = bytearray()
         try:
-            while data := await resp.content.readany():
-                body += data
-                if len(body) > max_bytes:
-                    raise interfaces.BackendLost(
-                        f"answer is larger than {max_bytes} bytes; request less data per call"
-                    )
+            data = await bodies.read(body, resp.content.readany)
+        except (buffering.BodyTooLarge, buffering.BodyGivenUp) as exc:
+            raise interfaces.BackendLost(f"answer was given up: {exc}") from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise _lost_error(exc) from exc
-        lines = tuple(
+        headers = tuple(
             f"{name}: {value}"
             for name, value in resp.headers.items()
             if name.lower() not in HOP_BY_HOP_HEADERS
         )
-        return interfaces.ServiceResponse(resp.status, lines, bytes(body))
+        return interfaces.ServiceResponse(resp.status, headers, data)
 
     async def load_report(self) -> interfaces.LoadReport:
         """Check that the server accepts connections; raises ``BackendUnreachable`` if not.
--- a/berylrock/adapters/interfaces.py
+++ b/berylrock/adapters/interfaces.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from berylrock.core import data, errors, message
+from berylrock.ops import buffering
 
 __all__ = [
     "BackendError",
@@ -128,8 +129,8 @@
 class PlainServer(Protocol):
     """Backend server of a plain service."""
 
-    async def call(self, start: message.Start, max_bytes: int) -> ServiceResponse:
-        """Pass a call on exactly once."""
+    async def call(self, start: message.Start, body: buffering.Body) -> ServiceResponse:
+        """Pass a call on exactly once; ``body`` collects the body of the answer."""
 
     async def load_report(self) -> LoadReport:
         """Check that the server answers; the report contains no load."""
--- a/berylrock/daemons/sidecar/entrylinks.py
+++ b/berylrock/daemons/sidecar/entrylinks.py
@@ -206,8 +206,7 @@
 
     def _discard(self, run: runs.Run) -> None:
         self._runner.runs.pop(run.start.attempt, None)
-        if run.task is not None:
-            run.task.cancel()
+        run.discard()
 
     def _handle_heartbeat(self, conn: link.Link, msg: message.Heartbeat) -> None:
         if msg.config_version > self._config.version:
--- a/berylrock/daemons/sidecar/process.py
+++ b/berylrock/daemons/sidecar/process.py
@@ -8,7 +8,7 @@
 from berylrock.daemons import admin, runtime, shutdown
 from berylrock.daemons.sidecar import backend, entrylinks, runner
 from berylrock.loader import settings
-from berylrock.ops import admission, fences, warmup
+from berylrock.ops import admission, buffering, fences, warmup
 
 __all__ = ["SidecarProcess", "run"]
 
@@ -18,6 +18,8 @@
 DRAIN_CHECK_SECONDS = 0.05
 BILL_DRAIN_SECONDS = 5.0
 UNBOUNDED_TOKENS = 2**31
+# What may be held of the backend server's bytes, beside 60 MB of the process itself.
+BUFFER_BYTES = 32 * buffering.BYTES_PER_MB
 
 
 class SidecarProcess:
@@ -28,10 +30,10 @@
         self._runtime = runtime.build(cfg.name, cfg.statsd, cfg.platform)
         self._runtime.config.subscribe(self._config_changed)
         self._warmup = warmup.WarmupTracker()
-        self._backend = backend.Backend(
-            backend_adapters.HttpEngine(cfg.backend_url), self._warmup, self._runtime.log
-        )
-        self._runner = runner.Runner(cfg, self._runtime, self._backend)
+        buffers = buffering.BufferBudget(BUFFER_BYTES)
+        engine = backend_adapters.HttpEngine(cfg.backend_url, buffers)
+        self._backend = backend.Backend(engine, self._warmup, self._runtime.log)
+        self._runner = runner.Runner(cfg, self._runtime, self._backend, buffers)
         fence = fences.FenceStore(self._runtime.objects, cfg.name)
         self._entry_links = entrylinks.EntryLinks(cfg, self._runtime, self._runner, fence)
 
--- a/berylrock/daemons/sidecar/runner.py
+++ b/berylrock/daemons/sidecar/runner.py
@@ -9,7 +9,7 @@
 from berylrock.daemons import runtime
 from berylrock.daemons.sidecar import backend
 from berylrock.loader import settings
-from berylrock.ops import admission, runs
+from berylrock.ops import admission, buffering, runs
 
 __all__ = ["Runner", "UnstoredBill"]
 
@@ -52,8 +52,10 @@
         cfg: settings.SidecarSettings,
         process_runtime: runtime.Runtime,
         server: backend.Backend,
+        buffers: buffering.BufferBudget,
     ) -> None:
         self._cfg = cfg
+        self._buffers = buffers
         self._config = process_runtime.config
         self._strikes = process_runtime.strikes
         self._log = process_runtime.log
@@ -250,12 +252,16 @@
             # The call may have taken effect, so its answer is still needed after its caller's
             # deadline.
             timeout_seconds += NON_REPEATABLE_EXTRA_SECONDS
+        # The answer of a call that may run once is kept until the run is discarded.
+        run.hold = body = buffering.Body(self._buffers, MAX_ANSWER_BYTES, start.repeatable)
         async with asyncio.timeout(timeout_seconds):
-            answer = await server.call(start, MAX_ANSWER_BYTES)
+            answer = await server.call(start, body)
         self.admission.record_first_token(start.attempt)
         for position in range(0, len(answer.body), CALL_CHUNK_BYTES):
             chunk = answer.body[position : position + CALL_CHUNK_BYTES]
             await run.put(chunk, READER_STALL_SECONDS)
+        if start.repeatable:
+            body.release()
         end = self._end(run, message.Outcome.DONE)
         return end._replace(status=answer.status, headers=answer.headers)
 
--- a/berylrock/ops/runs.py
+++ b/berylrock/ops/runs.py
@@ -9,6 +9,7 @@
 import collections
 
 from berylrock.core import message
+from berylrock.ops import buffering
 from berylrock.wire import link
 
 __all__ = ["ReaderStalled", "Run"]
@@ -32,6 +33,7 @@
       task: The task that runs the attempt.
       started_at: Event-loop time at which the run started.
       detached_at: Event-loop time at which the connection broke.
+      hold: Counts the bytes of its answer that are kept; None if they are not counted.
     """
 
     def __init__(self, start: message.Start, owner: str, conn: link.Link, now: float) -> None:
@@ -42,6 +44,7 @@
         self.task: asyncio.Task[None] | None = None
         self.started_at = now
         self.detached_at = now
+        self.hold: buffering.Hold | None = None
         self._buffer: collections.deque[message.Chunk] = collections.deque()
         self._buffered_bytes = 0
         self._next_offset = 0
@@ -117,6 +120,13 @@
         if self.link is not None:
             self.link.send(end)
 
+    def discard(self) -> None:
+        """Cancel what still runs, and return the memory of its answer."""
+        if self.task is not None:
+            self.task.cancel()
+        if self.hold is not None:
+            self.hold.release()
+
     def body(self) -> bytes:
         """Return the whole answer of a request that runs at most once; its buffer is unbounded."""
         return b"".join(chunk.data for chunk in self._buffer)
--- a/features/steps/process_bound_steps.py
+++ b/features/steps/process_bound_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 from support.platform import rawengine
-from support.sidecars import make_runner
+from support.sidecars import make_buffers, make_runner
 
 from berylrock.adapters import backend, interfaces, platform
 from berylrock.core import errors, message, metrics
@@ -44,8 +44,9 @@
 
 async def run_attempt(port, kind, number=0):
     """Run an attempt at a server on this port; returns its last frame."""
-    client = backend.HttpEngine if kind == "engine" else backend.HttpPlainServer
-    server = client(f"http://127.0.0.1:{port}")
+    url = f"http://127.0.0.1:{port}"
+    engine, plain = backend.HttpEngine(url, make_buffers()), backend.HttpPlainServer(url)
+    server = engine if kind == "engine" else plain
     runner = make_runner(server, kind)
     start = message.Start(
         attempt=f"a{number}", target="m@v1", body=b"{}", timeout_ms=9000, method="GET", path="/a"
@@ -54,13 +55,14 @@
     try:
         await runner.run(run)
     finally:
-        await server.close()
+        await engine.close()
+        await plain.close()
     return run.end
 
 
 async def ask_load(port):
     """Ask an engine for its load; returns how that ended."""
-    server = backend.HttpEngine(f"http://127.0.0.1:{port}")
+    server = backend.HttpEngine(f"http://127.0.0.1:{port}", make_buffers())
     try:
         await server.load_report()
         return "a report"
@@ -72,7 +74,7 @@
 
 async def give_order(port):
     """Give an engine an order; returns how that ended."""
-    server = backend.HttpEngine(f"http://127.0.0.1:{port}")
+    server = backend.HttpEngine(f"http://127.0.0.1:{port}", make_buffers())
     try:
         accepted, _ = await server.order(message.Order(target="m@v1"))
         return "taken" if accepted else "not taken"
--- a/features/steps/process_error_steps.py
+++ b/features/steps/process_error_steps.py
@@ -7,7 +7,7 @@
 from aiohttp import test_utils
 from behave import given, then, when
 from support.platform import rawengine
-from support.sidecars import TIMEOUT_S, make_runner
+from support.sidecars import TIMEOUT_S, make_buffers, make_runner
 
 from berylrock.adapters import backend
 from berylrock.core import message, metrics
@@ -40,7 +40,9 @@
 @given("a sidecar whose server is an engine that sends an event without sense")
 def step_senseless(context):
     """Keep how to make the server."""
-    context.make_server = lambda port: backend.HttpEngine(f"http://127.0.0.1:{port}")
+    context.make_server = lambda port: backend.HttpEngine(
+        f"http://127.0.0.1:{port}", make_buffers()
+    )
 
 
 @when("it runs a request")
--- a/features/support/sidecars.py
+++ b/features/support/sidecars.py
@@ -4,8 +4,8 @@
 
 from berylrock.adapters import interfaces
 from berylrock.core import metrics
-from berylrock.daemons.sidecar import runner
-from berylrock.ops import strikes
+from berylrock.daemons.sidecar import process, runner
+from berylrock.ops import buffering, strikes
 
 # Time without data from an engine after which a run counts as stalled, in seconds.
 TIMEOUT_S = 2.0
@@ -44,17 +44,22 @@
         self.running.discard(attempt)
 
 
+def make_buffers():
+    """Return a budget as a sidecar has it."""
+    return buffering.BufferBudget(process.BUFFER_BYTES)
+
+
 def make_runner(server, kind="engine"):
     """Return a runner for a server of this kind of pool, with nothing around it that matters."""
     log = types.SimpleNamespace(write=lambda name, **fields: None)
-    process = types.SimpleNamespace(
+    shared = types.SimpleNamespace(
         config=types.SimpleNamespace(version=1, doc=None),
         strikes=strikes.StrikeTable(),
         log=log,
         meter=metrics.Metrics("", "test"),
     )
     cfg = types.SimpleNamespace(max_queue=1, stall_seconds=TIMEOUT_S, name="sidecar", pool="m")
-    made = runner.Runner(cfg, process, PollResult(server, kind))
+    made = runner.Runner(cfg, shared, PollResult(server, kind), make_buffers())
     made.admission = Places()
     made.check = lambda start: None
     return made
