--- a/berylrock/adapters/platform.py
+++ b/berylrock/adapters/platform.py
@@ -6,21 +6,30 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import functools
-from collections.abc import Callable
-from typing import Any
+import socket
+import threading
+import time
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
 
-from berylrock.adapters import interfaces
+from berylrock.adapters import bodies, interfaces
 from berylrock.core import data, errors, metrics
+from berylrock.ops import buffering
 
 __all__ = ["HttpObjectStore", "HttpRatingService", "HttpVmList"]
 
 CALL_TIMEOUT_SECONDS = 1.0
 CONNECT_TIMEOUT_SECONDS = 0.5
 WATCH_MARGIN_SECONDS = 2.0
+# An object has 1 MB at most, and so has a page of a list.
+MAX_ANSWER_BYTES = 4 * buffering.BYTES_PER_MB
+READ_BYTES = 65_536
+T = TypeVar("T")
 CALL_THREADS = 16
 WATCH_THREADS = 4
 VERSION_HEADER = "X-Version"
@@ -28,11 +37,91 @@
 NOT_MODIFIED, MISSING, CONFLICT = 304, 404, 409
 
 
+class PlatformResponse(NamedTuple):
+    """A whole response of the platform."""
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
+
+
+class _Call:
+    """A call that a thread makes, and that another one may end.
+
+    Attributes:
+      expires_at: Time by which it must have ended, on the monotonic clock.
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        self.expires_at = time.monotonic() + limit_s
+        self._sock: socket.socket | None = None
+        self._cut = False
+        self._lock = threading.Lock()
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the call was ended, so that what looks like an end of the data is none."""
+        return self._cut
+
+    def use(self, sock: socket.socket | None) -> None:
+        """Remember the socket on which the call waits; None once it does not."""
+        with self._lock:
+            self._sock = sock
+            if self._cut:
+                self._shut_down()
+
+    def cut(self) -> None:
+        """Shut the call's connection down, so that its thread waits no longer."""
+        with self._lock:
+            self._cut = True
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        if self._sock is None:
+            return
+        with contextlib.suppress(OSError):
+            # The other side may have closed it already.
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+
+_calls = threading.local()
+
+
+class _Connection(urllib3.connection.HTTPConnection):
+    """A connection that tells the call of its thread which socket it waits on."""
+
+    def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
+        """Wait for the head of the response."""
+        _calls.current.use(self.sock)
+        return super().getresponse()
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
+def _read_parts(resp: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the bytes of a body as they arrive, unpacked."""
+    while True:
+        part = resp.read1(READ_BYTES)
+        if not part:
+            return
+        yield part
+
+
 class _Client:
-    """HTTP client that runs calls in threads and raises ``StoreUnavailable`` for every failure."""
+    """HTTP client that runs calls in threads and raises ``StoreUnavailable`` for every failure.
+
+    Each answer has a limit on its bytes and its time, whatever bytes arrive.
+    """
 
     def __init__(self, meter: metrics.Metrics) -> None:
         self._pool = urllib3.PoolManager(maxsize=CALL_THREADS + WATCH_THREADS, retries=False)
+        self._pool.pool_classes_by_scheme = {
+            "http": _ConnectionPool,
+            "https": urllib3.HTTPSConnectionPool,
+        }
+        self._buffers = buffering.BufferBudget(2 * MAX_ANSWER_BYTES)
         executor = concurrent.futures.ThreadPoolExecutor
         self._calls = executor(CALL_THREADS, thread_name_prefix="platform")
         self._watches = executor(WATCH_THREADS, thread_name_prefix="watch")
@@ -45,7 +134,7 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         wait_seconds: float = 0.0,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> PlatformResponse:
         """Make one HTTP call.
 
         Args:
@@ -67,17 +156,25 @@
         if wait_seconds:
             read_timeout = wait_seconds + WATCH_MARGIN_SECONDS
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=read_timeout)
-        request: Callable[[], Any] = functools.partial(
-            self._pool.request, method, url, body=body, headers=headers or {}, timeout=timeout
+        call = _Call(CONNECT_TIMEOUT_SECONDS + read_timeout)
+        request = functools.partial(
+            self._exchange, call, method, url, body=body, headers=headers or {}, timeout=timeout
         )
         pool = self._watches if wait_seconds else self._calls
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(call.expires_at - time.monotonic(), call.cut)
         try:
-            resp = await asyncio.get_running_loop().run_in_executor(pool, request)
-        except urllib3.exceptions.HTTPError as exc:
+            resp = await loop.run_in_executor(pool, request)
+        except (
+            *(urllib3.exceptions.HTTPError, OSError, bodies.BodyTooSlow),
+            *(buffering.BodyTooLarge, buffering.BodyGivenUp),
+        ) as exc:
             self._meter.count(metrics.Metrics.STORE_ERRORS)
             raise errors.StoreUnavailable(
                 f"platform did not answer {method} {url}; the call is retried automatically: {exc}"
             ) from exc
+        finally:
+            timer.cancel()
         if resp.status >= 500 or resp.status == 429:
             self._meter.count(metrics.Metrics.STORE_ERRORS)
             raise errors.StoreUnavailable(
@@ -85,6 +182,39 @@
             )
         return resp
 
+    def _exchange(self, call: _Call, method: str, url: str, **options: Any) -> PlatformResponse:
+        """Make a call in the current thread, and read its answer within the limits."""
+        _calls.current = call
+        resp = self._pool.request(method, url, preload_content=False, **options)
+        body = buffering.Body(self._buffers, MAX_ANSWER_BYTES)
+        try:
+            found = bodies.read_blocking(body, _read_parts(resp), call.expires_at)
+            if call.is_cut:
+                raise bodies.BodyTooSlow("answer did not end in time; check the platform")
+        except BaseException:
+            resp.close()
+            raise
+        finally:
+            call.use(None)
+        resp.release_conn()
+        return PlatformResponse(resp.status, resp.headers, found)
+
+
+def _read_version(resp: PlatformResponse) -> int:
+    """Return the version of an object; raises ``StoreUnavailable`` if the answer names none."""
+    text = resp.headers.get(VERSION_HEADER, "")
+    if not text.isascii() or not text.isdigit():
+        raise errors.StoreUnavailable(f"answer without {VERSION_HEADER}; retried automatically")
+    return int(text)
+
+
+def _decode(resp: PlatformResponse, kind: type[T]) -> T:
+    """Decode an answer; raises ``StoreUnavailable`` if it is none of that kind."""
+    try:
+        return msgspec.json.decode(resp.data, type=kind)
+    except msgspec.MsgspecError as exc:
+        raise errors.StoreUnavailable(f"invalid answer: {exc}; retried automatically") from exc
+
 
 class HttpObjectStore:
     """Client for the object API."""
@@ -101,7 +231,7 @@
         resp = await self._client.call("GET", self._url(kind, name))
         if resp.status == MISSING:
             raise errors.NotFound(f"no object {kind}/{name}; create it first")
-        return interfaces.StoredObject(int(resp.headers[VERSION_HEADER]), resp.data)
+        return interfaces.StoredObject(_read_version(resp), resp.data)
 
     async def put(self, kind: str, name: str, body: bytes, if_version: int | None) -> int:
         """Write an object, conditionally unless ``if_version`` is None; raises ``Conflict``."""
@@ -109,7 +239,7 @@
         resp = await self._client.call("PUT", self._url(kind, name), body, headers)
         if resp.status == CONFLICT:
             raise errors.Conflict(f"{kind}/{name} has another version; read it and try again")
-        return int(resp.headers[VERSION_HEADER])
+        return _read_version(resp)
 
     async def delete(self, kind: str, name: str, if_version: int) -> None:
         """Delete an object if it has this version; raises ``Conflict`` or ``NotFound``."""
@@ -128,7 +258,7 @@
         resp = await self._client.call("GET", url, wait_seconds=seconds)
         if resp.status in (NOT_MODIFIED, MISSING):
             return None
-        return interfaces.StoredObject(int(resp.headers[VERSION_HEADER]), resp.data)
+        return interfaces.StoredObject(_read_version(resp), resp.data)
 
     async def watch_version(self, kind: str, name: str, after: int, seconds: float) -> int | None:
         """Wait for a version above ``after`` without reading it; None if there is none in time."""
@@ -136,12 +266,12 @@
         resp = await self._client.call("GET", url, wait_seconds=seconds)
         if resp.status in (NOT_MODIFIED, MISSING):
             return None
-        return int(resp.headers[VERSION_HEADER])
+        return _read_version(resp)
 
     async def names(self, kind: str) -> tuple[str, ...]:
         """List the names of all objects of a kind."""
         resp = await self._client.call("GET", f"{self._base}/objects/{kind}")
-        return msgspec.json.decode(resp.data, type=tuple[str, ...])
+        return _decode(resp, tuple[str, ...])
 
 
 class _VmListBody(msgspec.Struct):
@@ -164,7 +294,7 @@
         resp = await self._client.call("GET", self._url, headers=headers)
         if resp.status == NOT_MODIFIED:
             return None
-        body = msgspec.json.decode(resp.data, type=_VmListBody)
+        body = _decode(resp, _VmListBody)
         self._etag = resp.headers.get("ETag", "")
         return tuple(data.Server(**row) for row in body.servers)
 
@@ -184,5 +314,5 @@
     async def ratings(self, after: int) -> tuple[interfaces.Rating, ...]:
         """Read the ratings after a position in the feed."""
         resp = await self._client.call("GET", f"{self._base}/ratings?after={after}")
-        rows = msgspec.json.decode(resp.data, type=list[dict[str, Any]])
+        rows = _decode(resp, list[dict[str, Any]])
         return tuple(interfaces.Rating(**row) for row in rows)
--- a/berylrock/ops/buffering.py
+++ b/berylrock/ops/buffering.py
@@ -6,6 +6,8 @@
 that the others need.
 """
 
+import threading
+
 from berylrock.core import errors
 
 __all__ = [
@@ -72,25 +74,29 @@
         Raises:
           BodyGivenUp: It has given way to others, or there is no room for it.
         """
-        if self.given_up or not self._budget.make_room(self, size):
-            self.give_up()
-            raise BodyGivenUp(f"no memory for another {size} bytes; try again later")
-        self._budget.set_size(self, size)
-        self.size = size
+        with self._budget.lock:
+            if self.given_up or not self._budget.make_room(self, size):
+                self.give_up()
+                raise BodyGivenUp(f"no memory for another {size} bytes; try again later")
+            self._budget.set_size(self, size)
+            self.size = size
 
     def settle(self) -> None:
         """Keep the bytes whatever others need, as all of them have arrived."""
-        self._budget.settle(self)
+        with self._budget.lock:
+            self._budget.settle(self)
 
     def give_up(self) -> None:
         """Return the bytes, and take no more."""
-        self.given_up = True
-        self.release()
+        with self._budget.lock:
+            self.given_up = True
+            self.release()
 
     def release(self) -> None:
         """Return the bytes."""
-        self._budget.set_size(self, 0)
-        self.size = 0
+        with self._budget.lock:
+            self._budget.set_size(self, 0)
+            self.size = 0
 
 
 class BufferBudget:
@@ -99,11 +105,13 @@
     Attributes:
       limit: The bytes.
       held: Bytes that are held now.
+      lock: Held while any hold of the budget changes, as holds of threads may give way to others.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.held = 0
+        self.lock = threading.RLock()
         self._receiving: set[Hold] = set()
 
     @property
@@ -160,12 +168,15 @@
           BodyTooLarge: The body is larger than its limit; its bytes are free again.
           BodyGivenUp: It has given way to others, or there is no room for it.
         """
-        size = self.size + len(data)
-        if size > self._max_bytes:
-            self.give_up()
-            raise BodyTooLarge(f"body of more than {self._max_bytes} bytes; ask for less at once")
-        self.resize(size)
-        self._data += data
+        with self._budget.lock:
+            size = self.size + len(data)
+            if size > self._max_bytes:
+                self.give_up()
+                raise BodyTooLarge(
+                    f"body of more than {self._max_bytes} bytes; ask for less at once"
+                )
+            self.resize(size)
+            self._data += data
 
     def finish(self) -> bytes:
         """Return the whole body, which stays counted until it is released.
@@ -173,14 +184,16 @@
         Raises:
           BodyGivenUp: It has given way to others.
         """
-        if self.given_up:
-            raise BodyGivenUp("no memory for the body; try again later")
-        self.settle()
-        data = bytes(self._data)
-        self._data.clear()
-        return data
+        with self._budget.lock:
+            if self.given_up:
+                raise BodyGivenUp("no memory for the body; try again later")
+            self.settle()
+            data = bytes(self._data)
+            self._data.clear()
+            return data
 
     def release(self) -> None:
         """Return the bytes, and forget those that were not taken yet."""
-        super().release()
-        self._data.clear()
+        with self._budget.lock:
+            super().release()
+            self._data.clear()
--- a/features/process_bounds.feature
+++ b/features/process_bounds.feature
@@ -47,6 +47,8 @@
       | the object API     | the body of a page |
       | the object API     | single bytes       |
       | the VM list        | the body of a page |
+      | the object API     | single bytes of a page with a length |
+      | the object API     | single bytes of a head |
       | the VM list        | a packed page      |
       | the rating service | the body of a page |
       | the rating service | single bytes       |
--- a/features/steps/process_bound_steps.py
+++ b/features/steps/process_bound_steps.py
@@ -34,6 +34,10 @@
     "single bytes of such a response": rawengine.Script(OK + CHUNKED, ONE_BYTE, PAUSE_S),
     "the body of a page": rawengine.Script(OK + b"X-Version: 1\r\n" + CHUNKED, CHUNK),
     "single bytes": rawengine.Script(OK + b"X-Version: 1\r\n" + CHUNKED, ONE_BYTE, PAUSE_S),
+    "single bytes of a page with a length": rawengine.Script(
+        OK + b"X-Version: 1\r\nContent-Length: 99999\r\n\r\n", b"x", PAUSE_S
+    ),
+    "single bytes of a head": rawengine.Script(OK + b"X-Long: ", b"x", PAUSE_S),
     "a packed page": rawengine.Script(
         OK + b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(ZEROS),
         end=ZEROS,
