Send enough requests that both engines get some, in the scenarios on unexpected errors

Traced by its log: all eight reads went to plain-1; the choice between two equal engines is random, so that this happens once in 256. With 24 requests it is once in 16 million; the checks are the same.

--- a/features/gateway_errors.feature
+++ b/features/gateway_errors.feature
@@ -42,7 +42,7 @@
   @promise.not_run @promise.answer
   Scenario Outline: An error before a <kind> is written leaves it to another engine
     Given a gateway in whose attempts on one engine an error is raised <when>
-    When 8 <kind>s are sent on one connection
+    When 24 <kind>s are sent on one connection
     Then all of them are answered by the other engine
     And the first engine is the one that failed, and holds nothing
 
@@ -60,7 +60,7 @@
   @promise.not_run @promise.once
   Scenario: An error after an order was written ends it with an unknown outcome
     Given a gateway in whose attempts on one engine an error is raised after the write
-    When 8 orders are sent on one connection
+    When 24 orders are sent on one connection
     Then each is answered by the other engine or with status 502, and runs at most once
     And the first engine is the one that failed, and holds nothing
 
