--- a/features/gateway_rig.feature
+++ b/features/gateway_rig.feature
@@ -18,3 +18,14 @@
   Scenario: The rig notices gateways that leave connections of given-up requests open
     When the rig plays 10 s with seed 1 and gateways with the fault "no close"
     Then it reports that engines worked on one request at the same time
+
+  # Guards against a rig that would not notice what it is for: each fault is a hypothesis on orders that ran twice.
+  Scenario Outline: The rig notices gateways with the fault "<fault>"
+    When the rig plays 10 s, mostly orders, with seed <seed> and gateways with the fault "<fault>"
+    Then it reports <what>
+
+    Examples:
+      | fault                 | seed | what                                            |
+      | any refusal           | 3    | that requests ran twice or were falsely refused |
+      | retry after a reset   | 2    | that requests ran twice or were falsely refused |
+      | retry after a timeout | 1    | that requests ran twice or were falsely refused |
--- a/features/steps/gateway_rig_steps.py
+++ b/features/steps/gateway_rig_steps.py
@@ -18,9 +18,18 @@
     play(context, seconds, seed, fault)
 
 
-def play(context, seconds, seed, fault):
+@when(
+    "the rig plays {seconds:g} s, mostly orders, with seed {seed:d} and gateways with the fault "
+    '"{fault}"'
+)
+def step_play_orders(context, seconds, seed, fault):
+    """Play the seed with gateways that have a fault, and many requests that may run once."""
+    play(context, seconds, seed, fault, "orders")
+
+
+def play(context, seconds, seed, fault, mix="all"):
     """Play a seed and keep what was found."""
-    found = rig.run(context.root, seed, seconds, fault=fault)
+    found = rig.run(context.root, seed, seconds, fault=fault, mix=mix)
     context.attempts, context.runs, context.disturbances, context.breaches = found
 
 
@@ -35,3 +44,10 @@
 def step_overlaps(context):
     """Check the breaches."""
     assert any(item.startswith("overlap") for item in context.breaches), context.breaches
+
+
+@then("it reports that requests ran twice or were falsely refused")
+def step_twice(context):
+    """Check the breaches."""
+    found = [item for item in context.breaches if item.startswith(("twice", "not run", "again"))]
+    assert found, (context.breaches, len(context.runs))
--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -7,6 +7,7 @@
 
 from berylrock.adapters import http1
 from berylrock.daemons.gateway import admitting, attempt, forwarding, process, responding
+from berylrock.ops import refusals, timeouts
 from berylrock.platform import translating
 
 # Engines for whose requests the errors are raised.
@@ -76,8 +77,60 @@
     http1.EngineConnection.close = close_if_idle
 
 
+def believe_any_refusal():
+    """Take each refusal for the answer to the request that it meets."""
+    refusals.find_doubt = lambda status, named_id, request_id: ""
+    read = translating.read_response_head
+
+    def read_without_id(status, raw):
+        head = read(status, raw)
+        return head._replace(request_id="") if head.not_run else head
+
+    translating.read_response_head = read_without_id
+
+
+def _end_as_not_run(is_wanted):
+    """Let failed attempts with some reasons count as not run."""
+    fail = attempt.Attempt._fail
+
+    def fail_or_not(self, reason):
+        failure = fail(self, reason)
+        return failure._replace(may_have_run=False) if is_wanted(reason) else failure
+
+    attempt.Attempt._fail = fail_or_not
+
+
+def retry_after_reset():
+    """Take a connection that breaks after a request was written for one that did not carry it."""
+    _end_as_not_run(lambda reason: reason.startswith("broken"))
+
+
+def retry_after_timeout():
+    """Take an engine that is silent until the deadline, or for too long, for one that did not run.
+
+    A tenth of the time is left for the next one.
+    """
+    _end_as_not_run(lambda reason: reason == attempt.TIMED_OUT)
+    wait = forwarding.Forwarding.response_start_timeouts
+
+    def wait_for_all(self):
+        limits = timeouts.response_start_timeouts(self.req.route.latency_target_s)
+        return wait(self) or limits
+
+    forwarding.Forwarding.response_start_timeouts = wait_for_all
+    begin = attempt.Attempt.__init__
+
+    def begin_anyhow(self, ctx, conns, req, state, model, can_fail_over):
+        begin(self, ctx, conns, req, state, model, lambda: True)
+
+    attempt.Attempt.__init__ = begin_anyhow
+
+
 PLACES = {
     "no close": leave_open,
+    "any refusal": believe_any_refusal,
+    "retry after a reset": retry_after_reset,
+    "retry after a timeout": retry_after_timeout,
     "before the write": break_before_write,
     "after the write": lambda: break_read(1),
     "in the body": lambda: break_read(2),
--- a/features/support/platform/rig.py
+++ b/features/support/platform/rig.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import atexit
 import contextlib
 import itertools
 import math
@@ -34,10 +35,25 @@
 
 FEATURES = pathlib.Path(__file__).parents[2]
 # Gateways, engines of models and of a plain service.
-SIZES = {"small": (2, 3, 2), "ferrante": (5, 9, 4), "taurex": (4, 18, 4), "grown": (14, 24, 4)}
-REQUESTS_PER_S = {"small": 25.0, "ferrante": 41.0, "taurex": 45.0, "grown": 70.0}
+SIZES = {
+    "small": (2, 3, 2),
+    "ferrante": (5, 9, 4),
+    "taurex": (4, 18, 4),
+    "grown": (14, 24, 4),
+    "large": (40, 120, 40),
+}
+REQUESTS_PER_S = {"small": 25.0, "ferrante": 41.0, "taurex": 45.0, "grown": 70.0, "large": 120.0}
+# The habits that engines have in turn; most are as they should be.
+HABITS = ("", "hasty", "stubborn", "", "proxied", "stubborn", "deaf")
+IDLE_TIMEOUT_MS = 1500
+LIMITS = {
+    "max-header-bytes": 16384,
+    "max-body-bytes": 2_000_000,
+    "idle-timeout-ms": IDLE_TIMEOUT_MS,
+}
 REVOKE_MS = 5000
 SETTLE_S, READY_TIMEOUT_S = 2.0, 40.0
+BUSY = "while True: pass"
 
 
 class RigEngine:
@@ -51,12 +67,17 @@
       popen: The process.
     """
 
-    def __init__(self, root, engine_id, seed, link_thread=None):
+    def __init__(self, root, engine_id, seed, link_thread=None, former=None):
+        """Prepare an engine, at the address of a former one that has ended if one is given."""
         self.id = engine_id
         self.service = engine_id.partition("-")[0]
         self.log = root / f"{engine_id}.runs"
         self.popen = None
         self._seed = seed
+        self._habit = HABITS[seed % len(HABITS)]
+        if former is not None:
+            self.link, self.address, self._own = former.link, former.address, former._own
+            return
         host = gatewayprocess.new_host()
         (port,) = gatewayprocess.free_ports(host, 1)
         self.link, self.address = None, f"{host}:{port}"
@@ -70,8 +91,7 @@
         """Start the process, also after an earlier one has ended."""
         command = [sys.executable, "-m", "support.platform.rigengine", self.id, self._own]
         command += [str(self.log), str(self._seed)]
-        # Every third engine is a stubborn one.
-        command += ["--stubborn"] if self._seed % 3 == 0 else []
+        command += ["--habit", self._habit]
         self._seed += 1000
         self.popen = subprocess.Popen(command, cwd=FEATURES)
 
@@ -87,6 +107,7 @@
 
     Attributes:
       disturbances: What was done to them, as ``rigchecks.Disturbance``.
+      config: The configuration in force.
     """
 
     def __init__(self, root, size, seed, launcher=("-m", "berylrock", "gateway"), code=None):
@@ -108,7 +129,8 @@
     def _build(self, counts, launcher, code):
         """Write the configuration, prepare the gateways and start the engines."""
         gateways, models, plain = counts
-        self._put("config", "main", make_config())
+        self.config = make_config()
+        self._put("config", "main", self.config)
         peer_port = gatewayprocess.free_ports("127.0.0.1", 1)[0]
         for number in range(gateways):
             self._add_gateway(f"entry-{number:02}", peer_port, launcher, code)
@@ -137,11 +159,11 @@
             code=code,
         )
 
-    def add_engine(self, service):
-        """Start an engine and write its entry."""
+    def add_engine(self, service, former=None):
+        """Start an engine, maybe at the address of one that has ended, and write its entry."""
         number = next(self._numbers)
         link_thread = self.thread if number % 2 else None
-        item = RigEngine(self.root, f"{service}-{number:03}", number, link_thread)
+        item = RigEngine(self.root, f"{service}-{number:03}", number, link_thread, former)
         self.engines[item.id] = item
         item.start()
         self.write_entry(item)
@@ -190,6 +212,14 @@
         fit = [name for name in sorted(items) if name not in self._busy and is_fit(items[name])]
         return items[self.rng.choice(fit)] if fit else None
 
+    def count(self, service):
+        """Return the number of engines of a service that run, or start again soon."""
+        return sum(item.service == service for item in self.engines.values())
+
+    def mark(self, kind):
+        """Record that something begins now and lasts."""
+        self.disturbances.append(rigchecks.Disturbance(kind, "", time.monotonic(), math.inf))
+
     def reserve(self, name):
         """Keep others from doing anything to an engine or a gateway from now on."""
         self._busy.add(name)
@@ -211,7 +241,8 @@
 
 def make_config():
     """Return the configuration: plain calls, and streams that can and cannot be resumed."""
-    config = fleet.make_config(1)
+    config = fleet.make_config(1, limits=LIMITS)
+    config["routes"].append(fleet.make_route("flip", "/flip/", "idempotent", "plain"))
     for route in config["routes"]:
         route["timeout-ms"] = 8000 if route["route-type"] == "streaming" else 3000
         route["target-latency-ms"] = 1000 if route["route-type"] == "streaming" else 400
@@ -221,7 +252,7 @@
     return config
 
 
-def run(root, seed, seconds, size="small", fault="", mix="all", code=None):
+def run(root, seed, seconds, size="small", fault="", mix="all", code=None, per_s=0.0):
     """Play one seed.
 
     Args:
@@ -232,6 +263,7 @@
       fault: Key of ``faultygateway.PLACES``; empty for sound gateways.
       mix: Key of ``rigcalls.MIXES``.
       code: Checkout whose gateways are played; None for this one's.
+      per_s: Requests a second; 0 for those of the size.
 
     Returns:
       The attempts, the runs, the disturbances and the descriptions of the breaches.
@@ -242,7 +274,8 @@
     rig = Rig(root, size, seed, launcher, code)
     try:
         rig.start()
-        callers = rigcalls.Callers(rig.gateways, random.Random(seed + 1), REQUESTS_PER_S[size], mix)
+        rate = per_s or REQUESTS_PER_S[size]
+        callers = rigcalls.Callers(rig.gateways, random.Random(seed + 1), rate, mix)
 
         async def play():
             watch = asyncio.create_task(rig.watch_lateness())
@@ -272,14 +305,18 @@
     parser.add_argument("--size", choices=sorted(SIZES), default="ferrante")
     parser.add_argument("--fault", choices=sorted(faultygateway.PLACES), default="")
     parser.add_argument("--mix", choices=sorted(rigcalls.MIXES), default="all")
+    parser.add_argument("--rate", type=float, default=0.0, help="requests a second")
+    parser.add_argument("--beside", type=int, default=0, help="busy processes beside")
     parser.add_argument("--code", help="checkout of another commit, whose gateways are played")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     failed = 0
+    busy = [subprocess.Popen([sys.executable, "-c", BUSY]) for _ in range(args.beside)]
+    atexit.register(lambda: [item.kill() for item in busy])
     for seed in range(int(first), int(last or first) + 1):
         root = pathlib.Path(tempfile.mkdtemp(prefix=f"rig-{seed}-"))
         attempts, runs, disturbances, breaches = run(
-            root, seed, args.seconds, args.size, args.fault, args.mix, args.code
+            *(root, seed, args.seconds, args.size, args.fault, args.mix, args.code, args.rate)
         )
         done = sum(item.status == 200 and item.whole for item in attempts)
         counts = f"{len(attempts)} attempts, {done} answered, {len(runs)} runs"
--- a/features/support/platform/rigcalls.py
+++ b/features/support/platform/rigcalls.py
@@ -1,9 +1,10 @@
 """The callers of the rig, who try again as the platform's callers do.
 
 An order, and a stream that cannot be resumed, is sent again only after an answer which says that it
-has not run. Everything else is sent again after any failure, a stream from the event after the last
-one that arrived. Each further attempt has an id and a connection of its own, and mostly goes to
-another gateway.
+has not run, or if a kept connection was closed without an answer, as if it had not been read.
+Everything else is sent again after any failure, a stream from the event after the last one that
+arrived. Each further attempt has an id and a connection of its own, and mostly goes to another
+gateway.
 """
 
 import asyncio
@@ -22,13 +23,13 @@
 CONNECT_TIMEOUT_S, EVENT_TIMEOUT_S = 1.0, 2.4
 GIVE_UP_SHARE, KEPT_SHARE = 0.1, 0.5
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-ORDER_BODY = b"x" * 200
-METHODS = {"read": "GET", "order": "POST", "chat": "POST", "talk": "POST"}
-DEADLINES_S = {"read": 3.0, "order": 3.0, "chat": 8.0, "talk": 8.0}
+BODY_BYTES, LONG_BODY_BYTES, LONG_BODY_SHARE = 200, (100_000, 1_000_000), 0.04
+METHODS = {"read": "GET", "flip": "GET", "order": "POST", "chat": "POST", "talk": "POST"}
+DEADLINES_S = {"read": 3.0, "flip": 3.0, "order": 3.0, "chat": 8.0, "talk": 8.0}
 # Kinds by their shares of the requests.
 MIXES = {
-    "all": ("chat",) * 10 + ("talk",) * 3 + ("order",) * 4 + ("read",) * 3,
-    "orders": ("order",) * 16 + ("read",) * 2 + ("chat",) * 2,
+    "all": ("chat",) * 10 + ("talk",) * 3 + ("order",) * 4 + ("read",) * 2 + ("flip",),
+    "orders": ("order",) * 16 + ("read",) + ("flip",) + ("chat",) * 2,
 }
 MAX_KEPT = 16
 
@@ -45,6 +46,8 @@
       status: The HTTP status; 0 if no head arrived.
       whole: Whether the answer arrived completely.
       gave_up: Whether the caller left before the answer was complete.
+      reused: Whether it was sent on a connection that had carried another one.
+      closed: Whether its connection ended before any byte of an answer.
     """
 
     id: str
@@ -55,6 +58,8 @@
     status: int
     whole: bool
     gave_up: bool
+    reused: bool
+    closed: bool
 
 
 class _Answer:
@@ -62,6 +67,7 @@
 
     def __init__(self):
         self.status, self.whole, self.last_event, self.retry_after_s = 0, False, 0, 0.2
+        self.reused, self.closed = False, False
 
 
 class Callers:
@@ -115,7 +121,8 @@
             if answer.whole and answer.status == 200 or ended_at >= min(expires_at, leaves_at):
                 return
             is_refused = answer.whole and answer.status in NOT_RUN_STATUSES
-            if kind in ("order", "talk") and not is_refused:
+            is_unread = answer.reused and answer.closed
+            if kind in ("order", "talk") and not is_refused and not is_unread:
                 return
             pause_s = answer.retry_after_s if is_refused else 0.02
             if pause_s > PAUSE_LIMIT_SHARE * (expires_at - ended_at):
@@ -125,13 +132,16 @@
     async def _send(self, request_id, kind, name, times, answer, keeps):
         """Send one attempt and read its answer; ``times`` are its deadline and when it is left."""
         expires_at, until = times
-        answer.status, answer.whole = 0, False
+        answer.status, answer.whole, answer.reused, answer.closed = 0, False, False, False
         sent_at, conn = time.monotonic(), None
         try:
             async with asyncio.timeout(max(0.01, until - sent_at)):
                 conn = await self._connect(name, keeps)
+                answer.reused = conn.responses_read > 0
                 await self._exchange(conn, request_id, kind, expires_at, answer)
-        except (http1.ConnectFailed, http1.ResponseBroken, TimeoutError):
+        except http1.ResponseBroken:
+            answer.closed = not answer.status
+        except (http1.ConnectFailed, TimeoutError):
             # What has arrived is in the answer.
             pass
         finally:
@@ -142,6 +152,7 @@
             Attempt(
                 *(request_id, kind, name, sent_at, time.monotonic()),
                 *(answer.status, answer.whole, gave_up and not answer.whole),
+                *(answer.reused, answer.closed),
             )
         )
 
@@ -164,7 +175,7 @@
 
     async def _exchange(self, conn, request_id, kind, expires_at, answer):
         left_ms = max(1, int((expires_at - time.monotonic()) * 1000))
-        body = b"" if kind == "read" else ORDER_BODY
+        body = b"" if kind in ("read", "flip") else self._make_body()
         lines = {
             "Host": fleet.HOST,
             "X-Api-Key": fleet.KEY,
@@ -182,6 +193,10 @@
         await conn.send(METHODS[kind], f"/{kind}/{request_id[:12]}", headers, body)
         await self._read(conn, kind, answer)
 
+    def _make_body(self):
+        is_long = self._rng.random() < LONG_BODY_SHARE
+        return b"x" * (self._rng.randint(*LONG_BODY_BYTES) if is_long else BODY_BYTES)
+
     async def _read(self, conn, kind, answer):
         data = b""
         while True:
--- a/features/support/platform/rigchecks.py
+++ b/features/support/platform/rigchecks.py
@@ -1,7 +1,9 @@
 """Checks what the engines of the rig have logged against what its callers saw.
 
-Two promises are checked: what may run once runs once, and a request does not go on at another
-engine while the one before still works on it.
+Three promises are checked: what may run once runs once, also if its caller sends it again because a
+kept connection was closed without an answer; a request does not go on at another engine while the
+one before still works on it; and a gateway does not close kept connections without an answer after
+it has passed their requests on.
 """
 
 import json
@@ -10,10 +12,14 @@
 
 RUN_ONCE = ("order", "talk")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Requests that a gateway may cut on kept connections, after it has passed them on.
+MAX_CUT = 3
 # Longest time for which an engine may go on with a request after another one has begun it.
 OVERLAP_S = 0.4
 # A gateway that was disturbed within this time need not keep up with its engines.
 CONTACT_S = 3.0
+# Requests of the kind ``flip`` may run once from now on, at gateways that follow the store.
+FLIPPED, APPLY_S = "flip", 2.0
 # The machine was too busy to run the processes of the rig in time.
 STARVED = ("starved", "")
 
@@ -27,6 +33,7 @@
       began_at: When it began.
       ended_at: When it ended; infinite if the engine still runs it.
       how: How it ended: ``done``, ``cancelled`` or ``broken``; empty if it did not.
+      deaf: Whether the engine does not learn of closed connections.
     """
 
     engine: str
@@ -34,6 +41,7 @@
     began_at: float
     ended_at: float
     how: str
+    deaf: bool = False
 
 
 class Disturbance(NamedTuple):
@@ -58,17 +66,18 @@
     Times in which the process was kept from running are added to the disturbances.
     """
     kills = [item.began_at for item in disturbances if item[:2] == ("engine_kill", engine_id)]
-    begun, runs = {}, []
+    begun, runs, deaf = {}, [], False
     for line in path.read_text().splitlines() if path.exists() else ():
         item = json.loads(line)
         if item["what"] == "started":
             begun.clear()
+            deaf = item["habit"] == "deaf"
         elif item["what"] == "late":
             late = Disturbance("engine_stop", engine_id, item["since"], item["at"])
             disturbances.append(late)
         elif item["what"] == "begin":
             killed_at = min([at for at in kills if at > item["at"]], default=math.inf)
-            run = Run(engine_id, item["id"], item["at"], killed_at, "")
+            run = Run(engine_id, item["id"], item["at"], killed_at, "", deaf)
             begun[item["run"]] = len(runs)
             runs.append(run)
         elif item["run"] in begun:
@@ -84,12 +93,20 @@
         by_attempt.setdefault(run.id, []).append(run)
         by_request.setdefault(run.id[:12], []).append(run)
     found = []
+    flipped_at = min(
+        [item.began_at for item in disturbances if item.kind == FLIPPED], default=math.inf
+    )
     for attempt in attempts:
         ran = by_attempt.get(attempt.id, [])
-        if attempt.kind in RUN_ONCE and len(ran) > 1:
+        is_once = attempt.kind in RUN_ONCE
+        if attempt.kind == "flip" and attempt.sent_at > flipped_at + APPLY_S:
+            is_once = not _was_disturbed(attempt, disturbances)
+        if is_once and len(ran) > 1:
             found.append(f"twice: {attempt} ran at {ran}")
-        if attempt.kind in RUN_ONCE and attempt.status in NOT_RUN_STATUSES and ran:
+        if is_once and attempt.status in NOT_RUN_STATUSES and ran:
             found.append(f"not run: {attempt} ran at {ran}")
+    found += _find_repeats(attempts, by_attempt, disturbances)
+    found += _find_cut(attempts, by_attempt, disturbances)
     gateways = {attempt.id: attempt.gateway for attempt in attempts}
     for name, groups in (("attempt", by_attempt), ("request", by_request)):
         for group in groups.values():
@@ -97,13 +114,46 @@
     return found
 
 
+def _find_repeats(attempts, by_attempt, disturbances):
+    """Return the requests that may run once and ran in more than one attempt of their callers."""
+    ran = {}
+    for attempt in attempts:
+        if attempt.kind in RUN_ONCE and attempt.id in by_attempt:
+            ran.setdefault(attempt.id[:12], []).append(attempt)
+    return [
+        f"again: {group}"
+        for group in ran.values()
+        if len(group) > 1 and not _was_disturbed(group[0], disturbances)
+    ]
+
+
+def _find_cut(attempts, by_attempt, disturbances):
+    """Return the gateways that cut more requests than allowed which they had passed on."""
+    cut = {}
+    for item in attempts:
+        if item.closed and item.reused and item.id in by_attempt:
+            if not _was_disturbed(item, disturbances):
+                cut.setdefault(item.gateway, []).append(item)
+    return [f"cut: {group}" for group in cut.values() if len(group) > MAX_CUT]
+
+
+def _was_disturbed(attempt, disturbances):
+    """Tell whether something was done to an attempt's gateway beside a planned stop."""
+    return any(
+        (item.kind, item.name) == ("gateway", attempt.gateway)
+        and item.began_at <= attempt.ended_at
+        and item.ended_at >= attempt.sent_at - CONTACT_S
+        for item in disturbances
+    )
+
+
 def _find_overlaps(name, group, gateways, disturbances):
     """Return the runs of one request that went on for too long beside another one elsewhere."""
     found = []
     for index, later in enumerate(group):
         for run in group[:index]:
             is_within = name == "request" and run.id == later.id
-            if run.engine == later.engine or is_within:
+            if run.engine == later.engine or is_within or run.deaf:
                 continue
             left_at = _continued_at(run.engine, later.began_at, disturbances)
             # An engine that was late to read may begin last a request that it got first.
--- a/features/support/platform/rigfaults.py
+++ b/features/support/platform/rigfaults.py
@@ -4,15 +4,17 @@
 import signal
 import time
 
-from . import fleet
+from . import fleet, rigchecks
 
 GRACE_S, APPLY_MS = 8, 2000
 FAULTS_PER_S = 0.9
 RESTART_S, LEAVE_EXTRA_S = 1.0, 2.0
+# Time until an address is used again, and for which the entry of its former engine still stands.
+COOLDOWN_S, STALE_ENTRY_S, MIN_ENGINES = 2.0, 1.0, 1
 STORE_MODES = ("down", "silent", "busy", "lossy")
 KINDS = (
     *("stop_engine", "stop_engine", "kill_engine", "replace_engine", "reset_engine"),
-    *("slow_engine", "cut_engine", "silence_engine"),
+    *("slow_engine", "cut_engine", "silence_engine", "take_over", "flip_route"),
     *("stop_gateway", "kill_gateway", "term_gateway", "cut_store", "store_mode"),
 )
 
@@ -87,6 +89,39 @@
             await asyncio.to_thread(item.stop)
             del rig.engines[item.id]
 
+    async def take_over(self):
+        """Kill an engine; one of the other service gets its address while its entry stands."""
+        rig = self._rig
+        item = rig.pick(rig.engines, lambda one: rig.count(one.service) > MIN_ENGINES)
+        if item is None:
+            return
+        other = "plain" if item.service == "models" else "models"
+        async with rig.disturb("engine_kill", item.id):
+            rig.reserve(item.id)
+            await asyncio.to_thread(item.stop)
+            del rig.engines[item.id]
+            await asyncio.sleep(COOLDOWN_S)
+            await asyncio.to_thread(rig.add_engine, other, item)
+            await asyncio.sleep(STALE_ENTRY_S)
+            await rig.store.remove("servers", item.id)
+
+    async def flip_route(self):
+        """Forbid repeats of a route's requests, while a gateway is cut off from the store."""
+        rig = self._rig
+        item = rig.pick(rig.gateways)
+        route = next(route for route in rig.config["routes"] if route["name"] == "flip")
+        if item is None or route["route-type"] == "non_idempotent":
+            return
+        route |= {"route-type": "non_idempotent", "max-attempts": 1}
+        rig.config["version"] += 1
+        async with rig.disturb("gateway", item.name):
+            link = rig.store_links[item.name]
+            link.blocked_directions.update(("up", "down"))
+            await rig.store.put("config", "main", rig.config)
+            rig.mark(rigchecks.FLIPPED)
+            await asyncio.sleep(self._pause_s(1.0, 4.0))
+            link.clear_faults()
+
     async def _disturb_link(self, inject):
         rig = self._rig
         item = rig.pick(rig.engines, lambda one: one.link is not None)
