Do not say of a cancelled run that it was never started (REFUSED)

What could happen, found while looking for the same class in the own interface: an entry process that was stopped for more than ten seconds asks its sidecar for an attempt that has been cancelled meanwhile, and is told that it never started, which stands for "not run" towards the caller. Cause: not being known any more was taken for never having been known. Evidence: "A run that was cancelled while its entry process was away ..." got a refusal before, and the end of the attempt now. Why this works: discarded attempts are remembered (20,000, as those refused before they began).

--- a/berylrock/daemons/sidecar/entrylinks.py
+++ b/berylrock/daemons/sidecar/entrylinks.py
@@ -20,7 +20,8 @@
 MAX_SLOTS = 100_000
 BILL_CONFIRMATION_SECONDS = 8.0
 MAX_BILLS_OFFERED = 2000
-MAX_NEVER_STARTED = 20_000
+# Attempts that are remembered after they have ended, or were refused before they began.
+MAX_REMEMBERED = 20_000
 
 
 class EntryLinks:
@@ -54,6 +55,8 @@
         # Attempts that an entry process tried to reattach to before their Start arrived. Each was
         # refused as never started, so a Start that arrives late must not run it.
         self._never_started: dict[str, None] = {}
+        # Attempts that may have run and of which nothing is kept any more.
+        self._forgotten: dict[str, None] = {}
         self._handlers: dict[type, Callable[..., None]] = {
             message.Start: self._handle_start,
             message.Window: self._handle_window,
@@ -186,9 +189,11 @@
         if run is not None:
             run.attach(conn, msg.offset)
             return
-        self._never_started[msg.attempt] = None
-        if len(self._never_started) > MAX_NEVER_STARTED:
-            del self._never_started[next(iter(self._never_started))]
+        if msg.attempt in self._forgotten:
+            detail = "run was cancelled while its entry process was away"
+            conn.send(message.End(msg.attempt, msg.offset, message.Outcome.STALLED, detail=detail))
+            return
+        _remember(self._never_started, msg.attempt)
         reason = admission.Reason.UNKNOWN_ATTEMPT
         conn.send(
             message.Refused(msg.attempt, reason, "attempt was never started", self._config.version)
@@ -205,6 +210,8 @@
         self._discard(run)
 
     def _discard(self, run: runs.Run) -> None:
+        if not isinstance(run.end, message.Refused):
+            _remember(self._forgotten, run.start.attempt)
         self._runner.runs.pop(run.start.attempt, None)
         run.discard()
 
@@ -310,3 +317,10 @@
         )
         if unconfirmed:
             next(iter(self.links)).send(message.BillsLeft(unconfirmed[:MAX_BILLS_OFFERED]))
+
+
+def _remember(known: dict[str, None], attempt: str) -> None:
+    """Remember an attempt, and forget the oldest one if there are too many."""
+    known[attempt] = None
+    if len(known) > MAX_REMEMBERED:
+        del known[next(iter(known))]
--- a/features/process_errors.feature
+++ b/features/process_errors.feature
@@ -20,3 +20,10 @@
     Given an entry process in which an error is raised while a request is served
     When a caller sends it a request
     Then the caller gets status 502 and the outcome "unknown-not-repeated"
+
+  # Guards against "never started" for a run that was cancelled after its entry process was away too long (REFUSED).
+  @promise.not_run
+  Scenario: A run that was cancelled while its entry process was away is not said never to have started
+    Given a sidecar that runs a read for an entry process, and that has got no other attempt
+    When the connection is lost for 11 s, and the entry process then asks for both attempts
+    Then the read is said to have ended without an answer, and the other one never to have started
--- a/features/steps/process_error_steps.py
+++ b/features/steps/process_error_steps.py
@@ -1,13 +1,14 @@
 """Steps on unexpected errors in a sidecar or an entry process, without processes."""
 
 import asyncio
+import types
 from unittest import mock
 
 from aiohttp import test_utils
 from behave import given, then, when
 from support import entries
 from support.platform import rawengine
-from support.sidecars import TIMEOUT_S, make_buffers, make_runner
+from support.sidecars import TIMEOUT_S, make_buffers, make_links, make_runner
 
 from berylrock.adapters import backend
 from berylrock.core import message
@@ -106,3 +107,30 @@
     """Check the response."""
     assert context.response.status == 502
     assert context.response.headers[outcome.HEADER] == outcome.UNKNOWN
+
+
+@given("a sidecar that runs a read for an entry process, and that has got no other attempt")
+def step_running(context):
+    """Keep the sidecar's links, with a run whose connection is lost at time 0."""
+    context.links, context.runner, context.clock = make_links()
+    run = runs.Run(message.Start(attempt="known", target="m@v1"), "entry", None, 0.0)
+    context.runner.runs["known"] = run
+
+
+@when("the connection is lost for 11 s, and the entry process then asks for both attempts")
+def step_attach(context):
+    """Let the sidecar handle what is left over, then reattach."""
+    context.clock.at = 11.0
+    context.links.handle_orphans()
+    context.sent = []
+    conn = types.SimpleNamespace(send=context.sent.append)
+    for attempt in ("known", "other"):
+        context.links._handle_attach(conn, message.Attach(attempt, 0))
+
+
+@then("the read is said to have ended without an answer, and the other one never to have started")
+def step_said(context):
+    """Check the frames."""
+    ended, refused = context.sent
+    assert isinstance(ended, message.End) and ended.outcome == message.Outcome.STALLED, ended
+    assert isinstance(refused, message.Refused) and refused.attempt == "other", refused
--- a/features/support/sidecars.py
+++ b/features/support/sidecars.py
@@ -4,7 +4,7 @@
 
 from berylrock.adapters import interfaces
 from berylrock.core import metrics
-from berylrock.daemons.sidecar import process, runner
+from berylrock.daemons.sidecar import entrylinks, process, runner
 from berylrock.ops import buffering, strikes
 
 # Time without data from an engine after which a run counts as stalled, in seconds.
@@ -63,3 +63,28 @@
     made.admission = Places()
     made.check = lambda start: None
     return made
+
+
+class Clock:
+    """A timer service whose time is set by the scenario.
+
+    Attributes:
+      at: The time, in seconds.
+    """
+
+    def __init__(self):
+        self.at = 0.0
+
+    def now(self):
+        """Return the time."""
+        return self.at
+
+
+def make_links():
+    """Return the links of a sidecar to entry processes, its runner and its clock."""
+    made, clock = make_runner(None), Clock()
+    shared = types.SimpleNamespace(
+        config=types.SimpleNamespace(version=1), strikes=None, timer=clock, log=None
+    )
+    cfg = types.SimpleNamespace(name="sidecar")
+    return entrylinks.EntryLinks(cfg, shared, made, None), made, clock
