--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -1,47 +1,6 @@
-"""Source changes that each remove one mechanism, and the scenarios that have to fail then."""
-
-from typing import NamedTuple
-
-
-class Edit(NamedTuple):
-    """A replacement of text in a source file.
-
-    Attributes:
-      file: Path of the file, relative to the package ``berylrock``.
-      old: The text to replace.
-      new: The text that replaces it.
-    """
-
-    file: str
-    old: str
-    new: str
-
-
-class Mutant(NamedTuple):
-    """A source change that removes a mechanism, and the scenario that has to fail then.
-
-    Attributes:
-      name: Name of the mutant.
-      file: Path of the first changed file, relative to the package ``berylrock``.
-      old: The text to replace in it.
-      new: The text that replaces it.
-      scenario: Part of the scenario's name.
-      more_edits: Further changes. A promise that is enforced in two places is broken only if both
-        are removed.
-    """
-
-    name: str
-    file: str
-    old: str
-    new: str
-    scenario: str
-    more_edits: tuple[Edit, ...] = ()
-
-    @property
-    def edits(self) -> tuple[Edit, ...]:
-        """All changes of the mutant."""
-        return (Edit(self.file, self.old, self.new), *self.more_edits)
+"""Source changes of entry processes and sidecars, and the scenarios that have to fail then."""
 
+from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
     Mutant(
@@ -176,13 +135,6 @@
             ),
         ),
     ),
-    Mutant(
-        "operators-race",
-        "ops/publishing.py",
-        "version = await objects.put(configuration.OBJECT_KIND, name, body, if_version)",
-        "version = await objects.put(configuration.OBJECT_KIND, name, body, None)",
-        "Of two concurrent operators one succeeds and the other is refused at ferrante",
-    ),
     Mutant(
         "bad-version",
         "ops/versionhealth.py",
@@ -225,85 +177,6 @@
         "        bounded = False\n",
         "Slow readers use little memory",
     ),
-    Mutant(
-        "relay-doubt",
-        "daemons/gateway/confirming.py",
-        "            return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.gaps.lost)",
-        "            return 1e9",
-        "although the relay is cut off from the store",
-        (Edit("daemons/gateway/following.py", "if engines_age_s > MAX", "if False and 0 > MAX"),),
-    ),
-    Mutant(
-        "relay-silence",
-        "daemons/gateway/following.py",
-        "ANSWER_TIMEOUT_S = 0.6",
-        "ANSWER_TIMEOUT_S = 60.0",
-        "although the relay is frozen",
-        (
-            Edit(
-                "daemons/gateway/confirming.py",
-                "return relays.doubt_age_s(ctx.cfg.bounds, ctx.engines.gaps.lost)",
-                "return 1e9",
-            ),
-        ),
-    ),
-    Mutant(
-        "relay-gap",
-        "ops/mirrors.py",
-        "if revision < self._floor or in_gap:",
-        "if revision < self._floor:",
-        "Copies that follow the store through changing relays stay complete",
-    ),
-    Mutant(
-        "progress",
-        "daemons/gateway/streaming.py",
-        "self._next_event_timeouts(opened), self._progress_at\n",
-        "self._next_event_timeouts(opened)\n",
-        "A stream that stalls with comment lines",
-    ),
-    Mutant(
-        "crash-order",
-        "ops/crashcases.py",
-        "and self.rounds >= MIN_ROUNDS\n            )",
-        "and self.rounds >= 0\n            )",
-        "Engines crash for other reasons",
-    ),
-    Mutant(
-        "crash-parts",
-        "ops/crashblame.py",
-        "            if not item.begun and item.shared_parts\n",
-        "            if False\n",
-        "Requests with a prompt part that crashes engines",
-    ),
-    Mutant(
-        "refusal-again",
-        "ops/refusals.py",
-        "    if not named_id:\n",
-        "    if False:\n",
-        "A request whose engine writes an earlier refusal once more",
-        (Edit("ops/refusals.py", "    if named_id != request_id:\n", "    if False:\n"),),
-    ),
-    Mutant(
-        "refusal-status",
-        "ops/refusals.py",
-        "    if status not in REFUSAL_STATUSES:\n",
-        "    if False:\n",
-        "that says that it did not run",
-    ),
-    Mutant(
-        "second-send",
-        "daemons/gateway/sending.py",
-        "        return not failure.arrived or routing.is_repeatable(self._req.route)\n",
-        "        return True\n",
-        "An order that an engine has refused is not sent to it again",
-    ),
-    Mutant(
-        "largest-gives-way",
-        "ops/buffering.py",
-        "            largest.give_up()\n",
-        "            return False\n",
-        "Endless answers of one engine leave room",
-    ),
     Mutant(
         "line-limit",
         "ops/lines.py",
@@ -319,98 +192,6 @@
         "        (lambda *call: None)(",
         "the object API that sends single bytes of a head",
     ),
-    Mutant(
-        "slow-for-good",
-        "ops/health.py",
-        "        return self._first_part_s * 0.5 ** (age_s / HALF_LIFE_S)\n",
-        "        return self._first_part_s\n",
-        "The only answer of an engine was slow",
-    ),
-    Mutant(
-        "unframed-end",
-        "daemons/gateway/streaming.py",
-        "        if not opened.head.framed and not self._event_count:\n",
-        "        if False:\n",
-        "After a stream has begun",
-    ),
-    Mutant(
-        "leaving-now",
-        "daemons/gateway/noticing.py",
-        "    if head.leaving:\n",
-        "    if False:\n",
-        "An engine leaves while the store is away",
-    ),
-    Mutant(
-        "pause",
-        "ops/selection.py",
-        "        and not item.notices.obstacle(criteria.now)\n",
-        "",
-        "An engine that asks for a pause gets none",
-        (Edit("daemons/gateway/attempt.py", "        if obstacle:\n", "        if False:\n"),),
-    ),
-    Mutant(
-        "limit",
-        "daemons/gateway/noticing.py",
-        "    _record_limit(ctx, state, head)\n",
-        "",
-        "Three gateways together keep to the limit",
-    ),
-    Mutant(
-        "limit-shares",
-        "ops/enginelimits.py",
-        "        return limit_per_s / holders\n",
-        "        return limit_per_s\n",
-        "gateways keep to a limit of",
-    ),
-    Mutant(
-        "limit-join",
-        "ops/enginelimits.py",
-        "        if not self.joined:\n            return 0.0\n",
-        "",
-        "gateways restart, join and leave at a limit of",
-    ),
-    Mutant(
-        "limit-heard",
-        "daemons/gateway/gossip.py",
-        "            self._record_limits(message, sent_at)\n",
-        "",
-        "A gateway hears from another one that a limit",
-    ),
-    Mutant(
-        "route-test",
-        "ops/trials.py",
-        "                if test.bad >= min_bad and test.score >= sequentialtest.FAULT_SCORE:\n",
-        "                if False:\n",
-        "A version is judged on each route",
-    ),
-    Mutant(
-        "held",
-        "ops/rollouts.py",
-        "    return bool(verdict.doubt) and",
-        "    return False and",
-        "A plain service's version that fails look",
-    ),
-    Mutant(
-        "unexpected",
-        "daemons/gateway/attempt.py",
-        "        except Exception as exc:\n            self.log_error(exc)\n",
-        "        except ZeroDivisionError as exc:\n            self.log_error(exc)\n",
-        "An error before a read is written",
-    ),
-    Mutant(
-        "gone",
-        "daemons/gateway/callers.py",
-        "                if flow.may_be_cancelled:\n",
-        "                if False:\n",
-        "that waits for the end of the engines' pause",
-        (
-            Edit(
-                "daemons/gateway/sending.py",
-                "if self.caller_left or self.crashes_engines:",
-                "if self.crashes_engines:",
-            ),
-        ),
-    ),
     Mutant(
         "gone-entry",
         "daemons/entry/placement.py",
@@ -418,25 +199,4 @@
         "        if True or is_wanted():\n",
         "that wait for a server leave with their callers",
     ),
-    Mutant(
-        "store-gap",
-        "ops/storegaps.py",
-        "        return self.is_open(now) or (self.last is",
-        "        return True or (self.last is",
-        "Most engines leave while only this gateway is cut off",
-    ),
-    Mutant(
-        "lapsed-share",
-        "ops/engineset.py",
-        "        return 2 * len(lapsed) >= len(self._states)\n",
-        "        return True\n",
-        "An engine leaves while no gateway hears the store",
-    ),
-    Mutant(
-        "reset",
-        "adapters/http1.py",
-        "        if self.has_open_request and not transport.is_closing():\n",
-        "        if False:\n",
-        "An engine learns by a reset that a read fails over",
-    ),
 )
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -14,13 +14,13 @@
 if __name__ == "__main__":
     sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
 
-from support import mutantlist  # noqa: E402
+from support import gatewaymutants, mutantlist, mutanttypes  # noqa: E402
 
-MUTANTS = mutantlist.MUTANTS
+MUTANTS = (*mutantlist.MUTANTS, *gatewaymutants.MUTANTS)
 COPIED = ("berylrock", "features", "examples")
 
 
-def apply(mutant: mutantlist.Mutant, folder: pathlib.Path) -> None:
+def apply(mutant: mutanttypes.Mutant, folder: pathlib.Path) -> None:
     """Remove a mechanism from a copy of the sources.
 
     Args:
@@ -40,7 +40,7 @@
         path.write_text(text.replace(edit.old, edit.new), encoding="utf-8")
 
 
-def is_detected(mutant: mutantlist.Mutant) -> bool:
+def is_detected(mutant: mutanttypes.Mutant) -> bool:
     """Run the mutant's scenario on a temporary copy with its changes.
 
     Args:
--- a/features/support/platform/soakmutants.py
+++ b/features/support/platform/soakmutants.py
@@ -11,14 +11,14 @@
 import sys
 import tempfile
 
-from support import mutantlist, mutants
+from support import mutants, mutanttypes
 
 SEEDS = "1-16"
 GATEWAY = "daemons/gateway"
 
 
 def _remove(name, file, old, new, *more_edits):
-    return mutantlist.Mutant(name, file, old, new, "", more_edits)
+    return mutanttypes.Mutant(name, file, old, new, "", more_edits)
 
 
 MECHANISMS = (
@@ -53,10 +53,10 @@
         f"{GATEWAY}/streaming.py",
         "self._step.model, self._sequence.last, self",
         "self._step.model, None, self",
-        mutantlist.Edit(
+        mutanttypes.Edit(
             f"{GATEWAY}/streaming.py", "if not self._sequence.advance(event):", "if False:"
         ),
-        mutantlist.Edit(
+        mutanttypes.Edit(
             f"{GATEWAY}/streaming.py", "if self._sequence.has_gap(event):", "if False:"
         ),
     ),
@@ -91,7 +91,7 @@
     """Apply a mutant to a temporary copy and run the soak there.
 
     Args:
-      mutant: The ``mutantlist.Mutant``.
+      mutant: The ``mutanttypes.Mutant``.
 
     Returns:
       The first breach that the soak reports; empty if it reports none.
