Leave a suspended VM time to answer in the scenario on reads during a stop

Traced by its log (request_refused ... reason=stopping): the VM woke 2.44 s after SIGTERM in place of 2.2 s, and of its 4 s of grace less was left than the 1.25 s that a read of the usual time may need, so that it was refused, truthfully, as not run. That rule has scenarios of its own ("Requests that come late in the grace time ...").

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -225,7 +225,8 @@
 
   @promise.shutdown
   Scenario: A read that arrives while idle connections are being closed is answered
-    Given each read takes 0.3 s
+    Given a gateway with a grace time of 8 s
+    And each read takes 0.3 s
     And a caller with an idle connection
     When SIGTERM is sent and the VM is suspended until the caller has sent a read
     Then the caller receives the complete answer
