Answer also after errors that look like those of a connection (LOST)

Only CallerGone means that nobody is there to answer. A part of a caller's body without bytes is no end of it.

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -211,16 +211,17 @@
 
     async def _read_body(self, conn: http1.CallerConnection, body: buffering.Body) -> bytes | None:
         """Read the body of a request; None if the caller disconnected before its end."""
-        ended = False
+        last: object = None
 
         async def next_data() -> bytes:
-            nonlocal ended
-            event = await conn.next_event()
-            ended = isinstance(event, h11.EndOfMessage)
-            return bytes(event.data) if isinstance(event, h11.Data) else b""
+            nonlocal last
+            last = await conn.next_event()
+            while isinstance(last, h11.Data) and not last.data:
+                last = await conn.next_event()
+            return bytes(last.data) if isinstance(last, h11.Data) else b""
 
         data = await bodies.read(body, next_data)
-        if ended:
+        if isinstance(last, h11.EndOfMessage):
             return data
         body.release()
         return None
@@ -266,7 +267,7 @@
         """
         try:
             await self._run(conn, flow)
-        except OSError:
+        except http1.CallerGone:
             raise
         except Exception as exc:
             self._log_error(flow.req.head.id, exc)
@@ -275,7 +276,7 @@
     async def _end_failed(self, flow: forwarding.Forwarding, exc: Exception) -> None:
         try:
             await flow.end_failed(exc)
-        except OSError:
+        except http1.CallerGone:
             raise
         except Exception as second:
             self._log_error(flow.req.head.id, second)
--- a/features/gateway_errors.feature
+++ b/features/gateway_errors.feature
@@ -70,3 +70,10 @@
     Given a gateway in which an error is raised while a request is admitted
     When 3 reads are sent on one connection
     Then each is refused as not run, and no engine got it
+
+  # Guards against an error that is taken for a caller who has left, whose connection then just ends (LOST).
+  @promise.answer
+  Scenario: A timeout that nobody expects, before an answer is sent, ends in an answer all the same
+    Given a gateway in which an error is raised before an answer is sent
+    When 2 orders are sent on one connection
+    Then each gets status 502, and runs once
--- a/features/steps/gateway_error_steps.py
+++ b/features/steps/gateway_error_steps.py
@@ -111,3 +111,10 @@
     assert [answer.status for answer in context.answers][0] == 503, context.answers
     assert not context.gateway.runs("plain")
     assert context.gateway.log().count("event=request_error") >= 1
+
+
+@then("each gets status 502, and runs once")
+def step_each_unknown(context):
+    """Check the answers and the runs."""
+    assert [answer.status for answer in context.answers] == [502, 502], context.answers
+    assert len(context.gateway.runs("plain")) == 2
--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -77,6 +77,15 @@
     http1.EngineConnection.close = close_if_idle
 
 
+def break_answer():
+    """Raise an error that looks like one of a connection, before a response is sent."""
+
+    async def raise_timeout(self, head, body):
+        raise TimeoutError("raised before a response is sent")
+
+    responding.Responder.send_response = raise_timeout
+
+
 def believe_any_refusal():
     """Take each refusal for the answer to the request that it meets."""
     refusals.find_doubt = lambda status, named_id, request_id: ""
@@ -136,6 +145,7 @@
     "in the body": lambda: break_read(2),
     "while a request is admitted": break_admission,
     "while a failed end is answered": break_failed_end,
+    "before an answer is sent": break_answer,
 }
 
 
