--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 
 import h11
 
@@ -21,6 +22,7 @@
     "Reader",
     "ResponseBroken",
     "ResponseEvent",
+    "read_data",
 ]
 
 READ_BYTES = 16_384
@@ -243,6 +245,21 @@
             return
 
 
+async def read_data(next_event: Callable[[], Awaitable[ResponseEvent]]) -> bytes:
+    """Wait for the next bytes of a response's body.
+
+    Args:
+      next_event: Waits for the next part of the response, after its head.
+
+    Returns:
+      The bytes; none once the body is complete.
+    """
+    while isinstance(event := await next_event(), h11.Data):
+        if event.data:
+            return bytes(event.data)
+    return b""
+
+
 class EngineConnection:
     """Client side of a connection to an engine or the store, for one request at a time.
 
@@ -346,6 +363,14 @@
                 return event
             raise ResponseBroken("connection was closed before the response ended")
 
+    async def next_data(self) -> bytes:
+        """Wait for the next bytes of a response's body; returns none once it is complete.
+
+        Raises:
+          ResponseBroken: The response ended early or is not valid HTTP.
+        """
+        return await read_data(self.next_event)
+
     def reset_for_reuse(self) -> bool:
         """Prepare the connection for another request; return whether it can be reused."""
         trailing = self._conn.trailing_data[0]
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -3,8 +3,6 @@
 import asyncio
 import math
 
-import h11
-
 from berylrock.adapters import bodies, http1
 from berylrock.core import routing
 from berylrock.daemons.gateway import admitting, attempt, context, pool, responding, sending
@@ -302,11 +300,10 @@
         limit = min(MAX_RESPONSE_BYTES, buffers.max_body_bytes)
         self._body = buffering.Body(buffers, limit, routing.is_repeatable(self.req.route))
 
-        async def next_data() -> bytes:
-            part = await opened.attempt.next_part(None)
-            return bytes(part.data) if isinstance(part, h11.Data) else b""
+        async def next_part() -> http1.ResponseEvent:
+            return await opened.attempt.next_part(None)
 
-        return await bodies.read(self._body, next_data)
+        return await bodies.read(self._body, lambda: http1.read_data(next_part))
 
     def _end_incomplete(
         self, opened: attempt.OpenedResponse, reason: str, first_part_s: float
--- a/berylrock/platform/store.py
+++ b/berylrock/platform/store.py
@@ -255,13 +255,8 @@
             raise http1.ResponseBroken("no response head")
         era = self._read_era(dict(head.headers).get(names.STORE_ERA, b""))
         body = buffering.Body(self._buffers, MAX_ANSWER_BYTES)
-
-        async def next_data() -> bytes:
-            event = await conn.next_event()
-            return bytes(event.data) if isinstance(event, h11.Data) else b""
-
         try:
-            return _Answer(head.status_code, await bodies.read(body, next_data), era)
+            return _Answer(head.status_code, await bodies.read(body, conn.next_data), era)
         finally:
             body.release()
 
