Compare what a gateway believes with what a head says, over heads of all kinds (TWICE)

A property test without network: a thousand heads with any status, up to three ids, with and without the header that says "not run", in any order and spelling. A head is believed just if it names this request alone, refuses, and says so; each refusing status occurs.

--- a/features/gateway_not_run.feature
+++ b/features/gateway_not_run.feature
@@ -60,3 +60,8 @@
     Given a gateway in which an error is raised while a failed end is answered
     When 1 orders are sent on one connection
     Then its connection ends without a promise that it has not run
+
+  # Guards against a head, of any that an engine or a proxy may send, which passes for a proof and is none (TWICE).
+  @promise.not_run
+  Scenario: Of all heads of responses only one kind proves that a request did not run
+    Then a head proves it just if it names this request alone, refuses, and says so
--- a/features/steps/gateway_not_run_steps.py
+++ b/features/steps/gateway_not_run_steps.py
@@ -1,8 +1,13 @@
 """Steps on what proves to a gateway that a request did not run."""
 
+import hypothesis
 from behave import given, then, when
+from support import gateway_data, refusal_data
 from support.platform import fleet, rawengine, scenario
 
+from berylrock.ops import refusals
+from berylrock.platform import translating
+
 NOT_RUN = b"X-Berylrock-Not-Executed: 1\r\n"
 SIGNATURE = b"X-Berylrock-Response-Signature: s\r\n"
 OWN_ID = b"X-Berylrock-Attempt-Id: {id}\r\n"
@@ -109,3 +114,24 @@
     """Check the answer and the engines."""
     assert context.result.status == 400, context.result
     assert not context.gateway.runs("plain")
+
+
+@then("a head proves it just if it names this request alone, refuses, and says so")
+def step_property(context):
+    """Compare what the gateway would believe with what the headers say."""
+
+    proofs = set()
+
+    @hypothesis.settings(gateway_data.property_settings, max_examples=1000)
+    @hypothesis.given(refusal_data.heads())
+    def check(drawn):
+        status, headers = drawn
+        head = translating.read_response_head(status, headers)
+        doubt = refusals.find_doubt(head.status, head.request_id, refusal_data.OWN_ID)
+        believed = head.not_run and not doubt
+        assert believed == refusal_data.proves_not_run(status, headers), (drawn, doubt)
+        if believed:
+            proofs.add(status)
+
+    check()
+    assert proofs == set(refusal_data.REFUSING), proofs
