Let a platform call forget its socket whatever ends it; say what a hold is

A call that failed before its answer still named its socket until its time was over. Nothing was seen: the library closes such connections. Two names and two doc comments read better; no change of behaviour elsewhere.

--- a/berylrock/adapters/platform.py
+++ b/berylrock/adapters/platform.py
@@ -99,7 +99,7 @@
             self._sock.shutdown(socket.SHUT_RDWR)
 
 
-_calls = threading.local()
+_current = threading.local()
 
 
 class _Connection(urllib3.connection.HTTPConnection):
@@ -107,7 +107,7 @@
 
     def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
         """Wait for the head of the response."""
-        _calls.current.use(self.sock)
+        _current.call.use(self.sock)
         return super().getresponse()
 
 
@@ -193,8 +193,16 @@
     def _exchange(self, call: _Call, method: str, url: str, **options: Any) -> PlatformResponse:
         """Make a call in the current thread, and read its answer within the limits."""
         call.begin()
-        _calls.current = call
-        resp = self._pool.request(method, url, preload_content=False, **options)
+        _current.call = call
+        try:
+            resp = self._pool.request(method, url, preload_content=False, **options)
+            found = self._read(resp, call)
+        finally:
+            call.use(None)
+        return PlatformResponse(resp.status, resp.headers, found)
+
+    def _read(self, resp: urllib3.BaseHTTPResponse, call: _Call) -> bytes:
+        """Read a body within the limits; its connection is kept only after a whole one."""
         body = buffering.Body(self._buffers, MAX_ANSWER_BYTES)
         try:
             found = bodies.read_blocking(body, _read_parts(resp), call.expires_at)
@@ -203,10 +211,8 @@
         except BaseException:
             resp.close()
             raise
-        finally:
-            call.use(None)
         resp.release_conn()
-        return PlatformResponse(resp.status, resp.headers, found)
+        return found
 
 
 def _read_version(resp: PlatformResponse) -> int:
--- a/berylrock/ops/buffering.py
+++ b/berylrock/ops/buffering.py
@@ -45,7 +45,7 @@
 
 
 class Hold:
-    """Bytes of a budget that something takes that is being received.
+    """Part of a budget that is taken by one body, line or event while it is received.
 
     Attributes:
       size: Number of the bytes.
@@ -65,7 +65,7 @@
         self._weight = 1.0 if replaceable else IRREPLACEABLE_WEIGHT
 
     def weigh(self, size: int) -> float:
-        """Return how much it would be the one to give way if it had this size."""
+        """Return its weight at a size; of several holds, the one with the largest gives way."""
         return size * self._weight
 
     def resize(self, size: int) -> None:
