--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 import h11
 
+from berylrock.adapters import sockets
 from berylrock.core import errors
 
 __all__ = [
@@ -34,11 +33,6 @@
 # may read slowly, and engines may be late to read a long body.
 CALLER_TIMEOUT_MS = 15_000
 ENGINE_TIMEOUT_MS = 6000
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-# Value of SO_LINGER: it is set, with no time to send what is left.
-LINGER_OFF = struct.pack("ii", 1, 0)
 
 Headers = list[tuple[bytes, bytes]]
 ResponseEvent = h11.Response | h11.Data | h11.EndOfMessage
@@ -56,26 +50,6 @@
     """The peer closed or reset the connection, or sent an invalid HTTP response."""
 
 
-def set_socket_options(sock: socket.socket, timeout_ms: int) -> None:
-    """Let the kernel close a connection whose peer is silent, also during a write.
-
-    Args:
-      sock: The TCP socket.
-      timeout_ms: Longest time in milliseconds for which sent data may stay unacknowledged.
-    """
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-
-
-def set_reset_on_close(sock: socket.socket) -> None:
-    """Let the kernel reset the connection when the socket is closed, without sending the rest."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
-
-
 class Reader:
     """Reader of a socket in the background, which detects at once when the peer disconnects.
 
@@ -151,7 +125,7 @@
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         sock = writer.get_extra_info("socket")
         if sock is not None:
-            set_socket_options(sock, CALLER_TIMEOUT_MS)
+            sockets.set_options(sock, CALLER_TIMEOUT_MS)
 
     @property
     def reusable(self) -> bool:
@@ -231,7 +205,7 @@
         transport = self._writer.transport
         by_close = self._conn.their_http_version == b"1.0" and not self.response_complete
         if by_close and not transport.is_closing():
-            set_reset_on_close(transport.get_extra_info("socket"))
+            sockets.set_reset_on_close(transport.get_extra_info("socket"))
         transport.abort()
 
     async def close(self) -> None:
@@ -273,7 +247,7 @@
     """
 
     def __init__(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        set_socket_options(writer.get_extra_info("socket"), ENGINE_TIMEOUT_MS)
+        sockets.set_options(writer.get_extra_info("socket"), ENGINE_TIMEOUT_MS)
         self._conn = h11.Connection(h11.CLIENT)
         self._writer = writer
         self.reader = Reader(stream)
@@ -398,5 +372,5 @@
         self.reader.close()
         transport = self._writer.transport
         if self.has_open_request and not transport.is_closing():
-            set_reset_on_close(transport.get_extra_info("socket"))
+            sockets.set_reset_on_close(transport.get_extra_info("socket"))
         transport.abort()
