--- a/features/support/platform/rigchecks.py
+++ b/features/support/platform/rigchecks.py
@@ -155,6 +155,8 @@
             is_within = name == "request" and run.id == later.id
             if run.engine == later.engine or is_within or run.deaf:
                 continue
+            if later.deaf and _began_late(later, disturbances):
+                continue
             left_at = _continued_at(run.engine, later.began_at, disturbances)
             # An engine that was late to read may begin last a request that it got first.
             overlap_s = min(run.ended_at, later.ended_at) - left_at
@@ -164,6 +166,19 @@
     return found
 
 
+def _began_late(run, disturbances):
+    """Tell whether an engine's process had been stopped shortly before it began a run.
+
+    It may have got the request first, and if it is deaf, it does not learn that it was given up.
+    """
+    return any(
+        item[:2] == ("engine_stop", run.engine)
+        and item.began_at <= run.began_at
+        and item.ended_at >= run.began_at - OVERLAP_S
+        for item in disturbances
+    )
+
+
 def _continued_at(engine, at, disturbances):
     """Return the time, or the end of the time in which the engine's process was stopped then."""
     stops = [item for item in disturbances if item[:2] == ("engine_stop", engine)]
