Excuse a deaf engine of the rig whose link was held back when it got a request first

Traced by the engines' runs, the gateways' logs and the disturbances, which the rig now writes beside them: its link was held back from 2721.609 to 2724.130 and from 2746.761 to 2749.189, the gateways had found it silent and reset their connections, and it began the requests 9 and 19 ms after the link was free again.

--- a/features/support/platform/rig.py
+++ b/features/support/platform/rig.py
@@ -325,6 +325,8 @@
         for item in breaches[:20]:
             print(f"  BREACH {item}")
         if breaches:
+            lines = "".join(f"{item}\n" for item in disturbances)
+            (root / "disturbances.txt").write_text(lines, encoding="utf-8")
             print(f"  logs in {root}")
         failed += bool(breaches)
         sys.stdout.flush()
--- a/features/support/platform/rigchecks.py
+++ b/features/support/platform/rigchecks.py
@@ -167,12 +167,13 @@
 
 
 def _began_late(run, disturbances):
-    """Tell whether an engine's process had been stopped shortly before it began a run.
+    """Tell whether an engine's process was stopped, or its link held back, until it began a run.
 
-    It may have got the request first, and if it is deaf, it does not learn that it was given up.
+    It may have been sent the request first, and if it is deaf, it does not learn that it was given
+    up meanwhile.
     """
     return any(
-        item[:2] == ("engine_stop", run.engine)
+        item[:2] in (("engine_stop", run.engine), ("link", run.engine))
         and item.began_at <= run.began_at
         and item.ended_at >= run.began_at - OVERLAP_S
         for item in disturbances
