--- a/features/support/platform/rigfaults.py
+++ b/features/support/platform/rigfaults.py
@@ -78,10 +78,10 @@
         item = rig.pick(rig.engines)
         if item is None:
             return
+        rig.reserve(item.id)
         await asyncio.to_thread(rig.add_engine, item.service)
         await asyncio.sleep(RESTART_S)
         async with rig.disturb("engine_kill", f"{item.id} leaves"):
-            rig.reserve(item.id)
             await rig.store.put("servers", item.id, self._entry(item, "draining"))
             await asyncio.sleep(APPLY_MS / 1000.0 + LEAVE_EXTRA_S)
             await rig.store.remove("servers", item.id)
