--- a/berylrock/core/routing.py
+++ b/berylrock/core/routing.py
@@ -164,6 +164,11 @@
     started_ms: int = 0
     sequence: int = 0
 
+    @property
+    def host_port(self) -> str:
+        """The address as text, ``host:port``."""
+        return f"{self.address[0]}:{self.address[1]}"
+
 
 class Rollout(NamedTuple):
     """Rollout of another version at a service, and its progress.
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -248,6 +248,7 @@
     async def _check_refusal(self, head: translating.ResponseHead) -> Failure:
         """End an attempt whose engine says that the request did not run."""
         doubt = refusals.find_doubt(head.status, head.request_id, self._req.head.id)
+        self._log_refusal(head, doubt)
         if doubt:
             self._ctx.meter.count("refusals_doubted")
             return self._fail(f"{doubt}: {head.status}")
@@ -257,6 +258,23 @@
             self.state.health.record_busy(now, DEFAULT_BUSY_PAUSE_S)
         return await self._end_refused(head)
 
+    def _log_refusal(self, head: translating.ResponseHead, doubt: str) -> None:
+        """Log a refusal with what decides whether it is believed.
+
+        The field ``carried`` holds the number of requests that the connection has carried before.
+        """
+        assert self.conn is not None
+        self._ctx.log.write(
+            "refusal_judged",
+            request=self._req.head.id,
+            engine=self.state.engine.id,
+            address=self.state.engine.host_port,
+            status=head.status,
+            names=head.request_id,
+            carried=self.conn.responses_read,
+            doubt=doubt,
+        )
+
     async def _end_refused(self, head: translating.ResponseHead) -> Failure:
         """End an attempt that the engine refused.
 
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -224,6 +224,7 @@
             "request_sent",
             request=self._req.head.id,
             engine=state.engine.id,
+            address=state.engine.host_port,
             version=state.engine.version,
             model=model,
             after_event=last_event,
