--- /dev/null
+++ b/features/gateway_copies.feature
@@ -0,0 +1,31 @@
+Feature: Copies of answers on connections to engines
+  A gateway process runs with an engine that writes earlier answers once more on its kept
+  connections, and with one in another zone that answers correctly.
+
+  # Guards against the copy of a refusal which is believed when its own request is under way again (TWICE).
+  @promise.once @promise.not_run
+  Scenario Outline: An order that was refused with <status> at an address is not sent to that address again
+    Given a gateway and a process that is known under two ids, refuses each order once with <status>, and copies that
+    When 12 orders are sent, each after the answer to the one before
+    Then no order begins at two engines, and each has an answer of 200
+
+    Examples:
+      | status |
+      | 421    |
+      | 503    |
+      | 429    |
+
+  # Guards against a sound answer that is failed because of an earlier one's copy (LOST).
+  @promise.answer
+  Scenario Outline: An order whose answer comes after <copies> gets its own answer
+    Given a gateway and a plain engine that writes <copies> before an answer
+    When 12 orders are sent, each after the answer to the one before
+    Then no order begins at two engines, and each has an answer of 200
+    And at least 2 of them met a copy
+
+    Examples:
+      | copies                          |
+      | a copy of a refusal             |
+      | two copies of a refusal         |
+      | a copy of an answer             |
+      | a copy of an answer in chunks   |
--- /dev/null
+++ b/features/support/platform/copyingengine.py
@@ -0,0 +1,105 @@
+"""A stand-in for an engine that writes earlier answers once more on its kept connections."""
+
+import asyncio
+
+from .rawengine import HEAD_BYTES, ID_HEADER
+
+LENGTH_HEADER = b"content-length: "
+NOT_RUN = b"X-Berylrock-Not-Executed: 1\r\n"
+SIGNED = b"X-Berylrock-Response-Signature: s\r\n"
+# Time from the copy to the answer that is due.
+ANSWER_DELAY_S = 0.02
+
+
+def make_refusal(status):
+    """Return a refusal; ``{id}`` stands for the id of the request."""
+    head = b"HTTP/1.1 %d Refused\r\nX-Berylrock-Attempt-Id: {id}\r\n" % status
+    return head + NOT_RUN + b"Content-Length: 0\r\n\r\n"
+
+
+def make_success(chunked=False, body=b"done"):
+    """Return a success; ``{id}`` stands for the id of the request."""
+    head = b"HTTP/1.1 200 OK\r\nX-Berylrock-Attempt-Id: {id}\r\n" + SIGNED
+    if chunked:
+        return head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class CopyingEngine:
+    """Answers some requests with ``first``, and writes that again before the next answer.
+
+    Attributes:
+      arrived: Ids of the requests, in order of arrival.
+      runs: Ids of the requests that it has begun to run.
+      met: Ids of the requests before whose answers it has written a copy.
+      port: Port on which the engine listens; 0 before ``start``.
+    """
+
+    def __init__(self, first, copies=1, by_id=False, refuses=True, answer=None):
+        """Prepare the engine.
+
+        Args:
+          first: The answer that is copied; ``{id}`` in it stands for the id of its request.
+          copies: How often the answer is written again.
+          by_id: Whether each id gets it the first time it comes; otherwise each connection's first
+            request does.
+          refuses: Whether a request that gets it does not run.
+          answer: The answer of the others.
+        """
+        self.arrived, self.runs, self.met = [], [], []
+        self.port = 0
+        self._first = first
+        self._copies = copies
+        self._by_id = by_id
+        self._refuses = refuses
+        self._answer = answer or make_success()
+        self._server = None
+
+    async def start(self):
+        """Start listening on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=HEAD_BYTES)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        """Stop listening, so that new connections are refused."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        due = b""
+        carried = 0
+        try:
+            while True:
+                request_id = await self._read_request(reader)
+                seen = request_id in self.arrived
+                self.arrived.append(request_id)
+                if not (seen if self._by_id else carried):
+                    due = self._first.replace(b"{id}", request_id)
+                    if not self._refuses:
+                        self.runs.append(request_id)
+                    writer.write(due)
+                else:
+                    await self._run(writer, request_id, due)
+                    due = b""
+                carried += 1
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The other side has closed the connection, or the scenario ends.
+            pass
+        finally:
+            writer.transport.abort()
+
+    @staticmethod
+    async def _read_request(reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        length = head.partition(LENGTH_HEADER)[2].partition(b"\r\n")[0]
+        await reader.readexactly(int(length or 0))
+        return head.partition(ID_HEADER)[2].partition(b"\r\n")[0]
+
+    async def _run(self, writer, request_id, due):
+        """Run a request, and write the copies of an earlier answer before its own."""
+        self.runs.append(request_id)
+        if due:
+            self.met.append(request_id)
+            writer.write(due * self._copies)
+            await asyncio.sleep(ANSWER_DELAY_S)
+        writer.write(self._answer.replace(b"{id}", request_id))
+        await writer.drain()
