--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Self
 
 import h11
 
@@ -257,7 +258,7 @@
         self.request_written = False
 
     @classmethod
-    async def open(cls, address: tuple[str, int], timeout_s: float) -> "EngineConnection":
+    async def open(cls, address: tuple[str, int], timeout_s: float) -> Self:
         """Open a connection.
 
         Args:
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -9,7 +9,7 @@
 from berylrock.adapters import http1
 from berylrock.core import errors, routing
 from berylrock.daemons.gateway import context, crashes, noticing, pool
-from berylrock.ops import enginestate, enginework, refusals, timeouts
+from berylrock.ops import answers, enginestate, enginework, timeouts
 from berylrock.platform import translating
 
 __all__ = ["TIMED_OUT", "Attempt", "DeadlineExceeded", "EngineTooSlow", "Failure", "OpenedResponse"]
@@ -77,7 +77,7 @@
         self.model = model
         self.sent_at = 0.0
         self.work_ahead = 0.0
-        self.conn: http1.EngineConnection | None = None
+        self.conn: pool.PooledConnection | None = None
         self.begun = False
         self._ctx = ctx
         self._conns = conns
@@ -187,7 +187,7 @@
         self.work_ahead = self.state.work + peers.work
         run_once = not routing.is_repeatable(req.route)
         try:
-            self.conn = await self._conns.acquire(engine, run_once)
+            self.conn = await self._conns.acquire(engine, req.head.id, run_once)
         except http1.ConnectFailed as exc:
             self._record_unreachable()
             self.end()
@@ -201,18 +201,27 @@
         )
         headers = translating.build_engine_headers(req, options)
         try:
+            self.conn.history.begin(req.head.id, req.head.method)
             await self.conn.send(req.head.method, req.head.target, headers, req.body)
-            part = await self.next_part(wait)
+            judged = await self._read_head(wait)
         except (DeadlineExceeded, EngineTooSlow):
             return self._fail(TIMED_OUT)
         except http1.ResponseBroken as exc:
             self.record_broken()
             return self._fail(f"broken: {exc}")
+        return await self._validate(*judged)
+
+    async def _read_head(
+        self, wait: timeouts.ResponseTimeouts | None
+    ) -> tuple[translating.ResponseHead, answers.Verdict]:
+        """Read the head of the response, and judge it; raises as ``next_part``."""
+        assert self.conn is not None
+        part = await self.next_part(wait)
         if not isinstance(part, h11.Response):
-            return self._fail("no response head")
-        return await self._validate(
-            translating.read_response_head(part.status_code, part.headers.raw_items())
-        )
+            raise http1.ResponseBroken("no response head")
+        head = translating.read_response_head(part.status_code, part.headers.raw_items())
+        claim = answers.Claim(head.status, head.request_id, head.not_run, head.framed)
+        return head, self.conn.history.judge(claim)
 
     def _find_obstacle(self, within_limit: bool) -> str:
         """Return why the request must not be sent after all; empty if it may be.
@@ -231,23 +240,25 @@
         notices.limit.take(now)
         return ""
 
-    async def _validate(self, head: translating.ResponseHead) -> "OpenedResponse | Failure":
+    async def _validate(
+        self, head: translating.ResponseHead, verdict: answers.Verdict
+    ) -> "OpenedResponse | Failure":
         """Check that the response belongs to this request and comes from an engine that ran it."""
         now = asyncio.get_running_loop().time()
-        if head.request_id and head.request_id != self._req.head.id:
-            return self._fail("response to another request")
-        noticing.record(self._ctx, self.state, head)
+        if not head.request_id or head.request_id == self._req.head.id:
+            noticing.record(self._ctx, self.state, head)
         if head.not_run:
-            return await self._check_refusal(head)
-        if not head.signed or head.encoded or head.request_id != self._req.head.id:
+            return await self._end_unrun(head, verdict.doubt)
+        if verdict.doubt:
+            return self._fail(f"{verdict.doubt}: {head.status}")
+        if not head.signed or head.encoded:
             return self._fail(f"unsigned response {head.status}")
         self.state.begin_answer(self._work)
         self._work = 0.0
         return OpenedResponse(self, head, now)
 
-    async def _check_refusal(self, head: translating.ResponseHead) -> Failure:
-        """End an attempt whose engine says that the request did not run."""
-        doubt = refusals.find_doubt(head.status, head.request_id, self._req.head.id)
+    async def _end_unrun(self, head: translating.ResponseHead, doubt: str) -> Failure:
+        """End an attempt whose engine says that a request did not run."""
         self._log_refusal(head, doubt)
         if doubt:
             self._ctx.meter.count("refusals_doubted")
@@ -323,7 +334,7 @@
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
         state, engine = self.state, self.state.engine
         try:
-            conn = await http1.EngineConnection.open(engine.address, pool.CONNECT_TIMEOUT_S)
+            conn = await pool.PooledConnection.open(engine.address, pool.CONNECT_TIMEOUT_S)
         except http1.ConnectFailed:
             self._record_unreachable()
             return
--- a/berylrock/daemons/gateway/pool.py
+++ b/berylrock/daemons/gateway/pool.py
@@ -1,11 +1,16 @@
-"""Pools connections to engines, and closes idle ones before the engine is likely to."""
+"""Pools connections to engines, and closes idle ones before the engine is likely to.
+
+A request never gets a connection that has carried it before: an answer there that names it could be
+the copy of an earlier one.
+"""
 
 import asyncio
 
 from berylrock.adapters import http1
 from berylrock.core import routing
+from berylrock.ops import answers
 
-__all__ = ["ConnectionPool"]
+__all__ = ["CONNECT_TIMEOUT_S", "ConnectionPool", "PooledConnection"]
 
 CONNECT_TIMEOUT_S = 0.6
 # Keep-alive time to assume for an engine that states none.
@@ -18,6 +23,18 @@
 MAX_IDLE_S = 8.0
 
 
+class PooledConnection(http1.EngineConnection):
+    """Connection to an engine that knows which requests it has carried.
+
+    Attributes:
+      history: Those requests, and what answers on the connection prove.
+    """
+
+    def __init__(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        super().__init__(stream, writer)
+        self.history = answers.ConnectionHistory()
+
+
 class ConnectionPool:
     """Idle connections by the address of the engine.
 
@@ -26,17 +43,22 @@
     """
 
     def __init__(self) -> None:
-        self._idle: dict[tuple[str, int], list[http1.EngineConnection]] = {}
+        self._idle: dict[tuple[str, int], list[PooledConnection]] = {}
         self.opened = 0
         self._closed = False
 
     async def acquire(
-        self, engine: routing.Engine, run_once: bool, timeout_s: float = CONNECT_TIMEOUT_S
-    ) -> http1.EngineConnection:
-        """Return an idle connection, or open a new one.
+        self,
+        engine: routing.Engine,
+        request_id: str,
+        run_once: bool,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> PooledConnection:
+        """Return an idle connection that has not carried the request, or open a new one.
 
         Args:
           engine: The engine.
+          request_id: Id of the request.
           run_once: Whether the request must not be sent twice.
           timeout_s: Longest wait for a new connection, in seconds.
 
@@ -48,8 +70,10 @@
         """
         now = asyncio.get_running_loop().time()
         conns = self._idle.get(engine.address, [])
-        while conns:
-            conn = conns.pop()
+        for index in reversed(range(len(conns))):
+            if conns[index].history.has_carried(request_id):
+                continue
+            conn = conns.pop(index)
             limit_s = KEEP_ALIVE_SHARE * (conn.keep_alive_s or DEFAULT_KEEP_ALIVE_S)
             if run_once:
                 limit_s = min(limit_s, RUN_ONCE_IDLE_S)
@@ -57,9 +81,9 @@
                 return conn
             conn.close()
         self.opened += 1
-        return await http1.EngineConnection.open(engine.address, timeout_s)
+        return await PooledConnection.open(engine.address, timeout_s)
 
-    def release(self, engine: routing.Engine, conn: http1.EngineConnection, closes: bool) -> None:
+    def release(self, engine: routing.Engine, conn: PooledConnection, closes: bool) -> None:
         """Keep a connection after a complete response, or close it if it cannot be reused."""
         fresh = conn.responses_read == 0 and conn.usable
         if closes or self._closed or not (fresh or conn.reset_for_reuse()):
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -32,6 +32,7 @@
     Attributes:
       sent_to: Ids of the engines that the request was sent to.
       tried: Those that it is not sent to again; one that asked for a pause may get it after that.
+      left: Addresses that it is not sent to again, because it may run once and may have arrived.
       attempts_run: Attempts that an engine may have run.
       attempts_sent: All attempts.
       attempts_arrived: Attempts that may have reached an engine; all but the first are retries.
@@ -45,6 +46,7 @@
     ) -> None:
         self.sent_to: set[str] = set()
         self.tried: set[str] = set()
+        self.left: set[tuple[str, int]] = set()
         self.attempts_run = 0
         self.attempts_sent = 0
         self.attempts_arrived = 0
@@ -142,6 +144,7 @@
             now=now,
             preferred=offer.preferred,
             limits=ctx.limit_shares(),
+            left=frozenset(self.left),
         )
         return selection.choose(offer.states, criteria, ctx.rng, ctx.load_view)
 
@@ -170,7 +173,11 @@
 
     def _untried(self, now: float) -> list[enginestate.EngineState]:
         """Return the engines of the request's version that it was not sent to."""
-        return [item for item in self._engines(now) if item.engine.id not in self.tried]
+        return [item for item in self._engines(now) if self._may_get(item.engine)]
+
+    def _may_get(self, engine: routing.Engine) -> bool:
+        """Tell whether the request may be sent to an engine, as far as it was sent before."""
+        return engine.id not in self.tried and engine.address not in self.left
 
     def _engines(self, now: float) -> list[enginestate.EngineState]:
         """Return the engines of the request's version."""
@@ -189,7 +196,7 @@
         if plan.trial is None or plan.trial != version:
             return group
         trial = group.trial(plan)
-        untried = any(item.engine.id not in self.tried for item in trial.states)
+        untried = any(self._may_get(item.engine) for item in trial.states)
         return trial if untried else group
 
     def _choose_version(self, now: float) -> str | None:
@@ -276,19 +283,22 @@
             self.attempts_run -= not result.may_have_run
             self.attempts_arrived -= not result.arrived
             self.last_reason = result.reason
-            if result.paused and self._may_return_after(result):
-                self.tried.discard(state.engine.id)
+            self._record_place(state.engine, result)
         return result
 
+    def _record_place(self, engine: routing.Engine, failure: attempt.Failure) -> None:
+        """Record where the request may be sent after a failed attempt.
+
+        A second refusal could not be told from a copy of the first one, and the process at an
+        address may be known under several ids.
+        """
+        if failure.arrived and not routing.is_repeatable(self._req.route):
+            self.left.add(engine.address)
+        elif failure.paused:
+            self.tried.discard(engine.id)
+
     def _record_run(self) -> None:
         """Count the request as one that has begun to run, once for all its attempts."""
         if not self._is_counted:
             self._is_counted = True
             self._ctx.record_run(self._req.organisation)
-
-    def _may_return_after(self, failure: attempt.Failure) -> bool:
-        """Tell whether the request may be sent to the engine of this attempt again.
-
-        A second refusal of one request could not be told from a copy of the first one.
-        """
-        return not failure.arrived or routing.is_repeatable(self._req.route)
--- /dev/null
+++ b/berylrock/ops/answers.py
@@ -0,0 +1,121 @@
+"""Decides what an answer on a connection to an engine proves about the request that is due there.
+
+Scenario: an engine, or a proxy before it, writes an earlier answer once more where the answer to an
+order is due, and the order runs. Whoever believes the copy of a refusal sends the order to a second
+engine, or tells its caller that it has not run; whoever fails the order because of a copy loses the
+answer that follows.
+
+``docs/design/answers.md`` has the table of all cases.
+"""
+
+import collections
+import enum
+from typing import NamedTuple
+
+__all__ = ["Claim", "ConnectionHistory", "Meaning", "Verdict"]
+
+BAD_REQUEST, REQUEST_TIMEOUT, MISDIRECTED = 400, 408, 421
+TOO_MANY_REQUESTS, UNAVAILABLE = 429, 503
+# Any other status says that the request ran, or nothing of it.
+REFUSAL_STATUSES = frozenset(
+    (BAD_REQUEST, REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE)
+)
+# Latest requests of a connection whose answers may still be copied.
+MAX_REMEMBERED = 64
+
+
+class Claim(NamedTuple):
+    """What the head of a response says of itself.
+
+    Attributes:
+      status: HTTP status.
+      names: Id of the request that it names; empty if it names none.
+      not_run: Whether it says that the request did not run.
+      framed: Whether it tells where its body ends, by a length or by chunks.
+    """
+
+    status: int
+    names: str
+    not_run: bool
+    framed: bool
+
+
+class Meaning(enum.Enum):
+    """What a response is to the request that is due on its connection."""
+
+    ANSWER = "answer"
+    REFUSAL = "refusal"
+    EARLIER = "earlier"
+    UNRELATED = "unrelated"
+
+
+class Verdict(NamedTuple):
+    """How a response is to be taken.
+
+    Attributes:
+      meaning: ``ANSWER``, the request's own, of a run; ``REFUSAL``, a proof that it did not run;
+        ``EARLIER``, a copy of the answer to an earlier request, after which its own may still come;
+        ``UNRELATED``, nothing that tells of the request, which may have run.
+      doubt: Why the response is unrelated; empty for the others.
+    """
+
+    meaning: Meaning
+    doubt: str = ""
+
+
+class _Sent(NamedTuple):
+    """A request that was written to the connection.
+
+    Attributes:
+      id: Its id.
+      has_no_body: Whether responses to it have no body whatever their heads say, as to HEAD.
+    """
+
+    id: str
+    has_no_body: bool
+
+
+class ConnectionHistory:
+    """The requests that one connection to an engine has carried, and what answers there prove."""
+
+    def __init__(self) -> None:
+        self._earlier: collections.deque[_Sent] = collections.deque(maxlen=MAX_REMEMBERED)
+        self._current: _Sent | None = None
+
+    def begin(self, request_id: str, method: str) -> None:
+        """Record that a request is about to be written to the connection."""
+        if self._current is not None:
+            self._earlier.append(self._current)
+        self._current = _Sent(request_id, method == "HEAD")
+
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a request with this id was written here, so that its answers may return."""
+        is_current = self._current is not None and self._current.id == request_id
+        return is_current or any(item.id == request_id for item in self._earlier)
+
+    def judge(self, claim: Claim) -> Verdict:
+        """Decide what a response proves about the current request.
+
+        Args:
+          claim: What its head says.
+
+        Returns:
+          The verdict.
+        """
+        current = self._current
+        if current is None:
+            return Verdict(Meaning.UNRELATED, "response without a request")
+        if not claim.names:
+            kind = "refusal" if claim.not_run else "response"
+            return Verdict(Meaning.UNRELATED, f"{kind} that names no request")
+        if claim.names != current.id:
+            return Verdict(Meaning.UNRELATED, "response to another request")
+        if any(item.id == current.id for item in self._earlier):
+            return Verdict(
+                Meaning.UNRELATED, "response that an earlier request with its id may get"
+            )
+        if not claim.not_run:
+            return Verdict(Meaning.ANSWER)
+        if claim.status not in REFUSAL_STATUSES:
+            return Verdict(Meaning.UNRELATED, "refusal whose status contradicts it")
+        return Verdict(Meaning.REFUSAL)
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -48,6 +48,7 @@
       shares: Limits on the requests that this gateway may send to an engine within a second.
       max_running: Maximum number of this gateway's requests that run on one engine.
       tried: Ids of the engines to which this request was sent before.
+      left: Addresses to which this request must not be sent again, whatever engine is there.
       now: Time in seconds on the event loop's clock.
       preferred: Ids of the engines that keep the prompt part, as in ``enginegroup``; empty to find
         one among all engines.
@@ -63,6 +64,7 @@
     now: float
     preferred: tuple[str, ...] = ()
     limits: enginelimits.LimitShares = enginelimits.UNSHARED
+    left: frozenset[tuple[str, int]] = frozenset()
 
 
 def affinity_key(head: routing.RequestHead, model: str) -> str:
@@ -166,6 +168,7 @@
         item
         for item in states
         if item.engine.id not in criteria.tried
+        and item.engine.address not in criteria.left
         and not item.notices.obstacle(criteria.now)
         and item.notices.limit.permit_at(criteria.limits, item.engine.id, criteria.now)
         <= criteria.now
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -28,7 +28,9 @@
     for engine_id in ids:
         entry = fleet.make_entry("plain", f"127.0.0.1:{engine.port}")
         running.put("servers", engine_id, entry)
-    running.add_engine("plain-other", "plain", zone="giarre-d")
+    other = running.add_engine("plain-other", "plain", zone="giarre-d")
+    # As slow as the one that copies, which is otherwise taken for slow and gets less.
+    other.response_delay_s = copyingengine.ANSWER_DELAY_S
     known = [f"engine={engine_id} what=added" for engine_id in (*ids, "plain-other")]
     running.wait(lambda: all(item in running.log() for item in known), "the engines are known")
 
--- a/features/steps/gateway_not_run_steps.py
+++ b/features/steps/gateway_not_run_steps.py
@@ -5,7 +5,7 @@
 from support import gateway_data, refusal_data
 from support.platform import fleet, rawengine, scenario
 
-from berylrock.ops import refusals
+from berylrock.ops import answers
 from berylrock.platform import translating
 
 NOT_RUN = b"X-Berylrock-Not-Executed: 1\r\n"
@@ -127,9 +127,12 @@
     def check(drawn):
         status, headers = drawn
         head = translating.read_response_head(status, headers)
-        doubt = refusals.find_doubt(head.status, head.request_id, refusal_data.OWN_ID)
-        believed = head.not_run and not doubt
-        assert believed == refusal_data.proves_not_run(status, headers), (drawn, doubt)
+        history = answers.ConnectionHistory()
+        history.begin(refusal_data.OWN_ID, "POST")
+        claim = answers.Claim(head.status, head.request_id, head.not_run, head.framed)
+        verdict = history.judge(claim)
+        believed = verdict.meaning is answers.Meaning.REFUSAL
+        assert believed == refusal_data.proves_not_run(status, headers), (drawn, verdict)
         if believed:
             proofs.add(status)
 
--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -7,7 +7,7 @@
 
 from berylrock.adapters import http1
 from berylrock.daemons.gateway import admitting, attempt, forwarding, process, responding
-from berylrock.ops import refusals, timeouts
+from berylrock.ops import answers, timeouts
 from berylrock.platform import translating
 
 # Engines for whose requests the errors are raised.
@@ -88,7 +88,13 @@
 
 def believe_any_refusal():
     """Take each refusal for the answer to the request that it meets."""
-    refusals.find_doubt = lambda status, named_id, request_id: ""
+    judge = answers.ConnectionHistory.judge
+
+    def judge_as_own(self, claim):
+        verdict = judge(self, claim)
+        return answers.Verdict(answers.Meaning.REFUSAL) if claim.not_run else verdict
+
+    answers.ConnectionHistory.judge = judge_as_own
     read = translating.read_response_head
 
     def read_without_id(status, raw):
