--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -256,6 +256,7 @@
         self.keep_alive_s: float | None = None
         self.responses_read = 0
         self.request_written = False
+        self._method = ""
 
     @classmethod
     async def open(cls, address: tuple[str, int], timeout_s: float) -> Self:
@@ -305,6 +306,7 @@
         if body:
             data += self._conn.send(h11.Data(data=body)) or b""
         data += self._conn.send(h11.EndOfMessage()) or b""
+        self._method = method
         self.request_written = True
         try:
             self._writer.write(data)
@@ -346,6 +348,18 @@
         """
         return await read_data(self.next_event)
 
+    def expect_another_response(self) -> None:
+        """Prepare to read a further response to the current request, after a complete one."""
+        received, _ = self._conn.trailing_data
+        self._conn = h11.Connection(h11.CLIENT)
+        # Only the state of the new parser is wanted: the peer has the request already.
+        self._conn.send(
+            h11.Request(method=self._method, target="/", headers=[(b"host", b"engine")])
+        )
+        self._conn.send(h11.EndOfMessage())
+        if received:
+            self._conn.receive_data(received)
+
     def reset_for_reuse(self) -> bool:
         """Prepare the connection for another request; return whether it can be reused."""
         trailing = self._conn.trailing_data[0]
--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -18,6 +18,9 @@
 # Back-off for an engine that refused a request and asked for no pause.
 DEFAULT_BUSY_PAUSE_S = 0.15
 REFUSAL_READ_TIMEOUT_S = 0.2
+# Copies of earlier answers, and their bytes, that one attempt passes over.
+MAX_PASSED_OVER = 4
+MAX_PASSED_OVER_BYTES = 65_536
 MIN_DEADLINE_S = 0.001
 SILENCE_CHECK_S = 0.1
 # Reason of a failed attempt whose engine was silent or too slow, or whose deadline passed.
@@ -214,14 +217,53 @@
     async def _read_head(
         self, wait: timeouts.ResponseTimeouts | None
     ) -> tuple[translating.ResponseHead, answers.Verdict]:
-        """Read the head of the response, and judge it; raises as ``next_part``."""
+        """Read the first head that is no copy of an earlier answer, and judge it.
+
+        Raises:
+          DeadlineExceeded, EngineTooSlow, ResponseBroken: As ``next_part``; copies are no progress.
+        """
+        assert self.conn is not None
+        since, size = asyncio.get_running_loop().time(), 0
+        for _ in range(1 + MAX_PASSED_OVER):
+            part = await self.next_part(wait, since)
+            if not isinstance(part, h11.Response):
+                raise http1.ResponseBroken("no response head")
+            head = translating.read_response_head(part.status_code, part.headers.raw_items())
+            claim = answers.Claim(head.status, head.request_id, head.not_run, head.framed)
+            verdict = self.conn.history.judge(claim)
+            if verdict.meaning is not answers.Meaning.EARLIER:
+                return head, verdict
+            size = await self._pass_over(head, wait, since, size)
+        raise http1.ResponseBroken("copies of earlier answers without end")
+
+    async def _pass_over(
+        self,
+        head: translating.ResponseHead,
+        wait: timeouts.ResponseTimeouts | None,
+        since: float,
+        size: int,
+    ) -> int:
+        """Read a copy of an earlier answer to its end; ``size`` bytes of others were read before.
+
+        Returns:
+          The bytes of all of them.
+        """
         assert self.conn is not None
-        part = await self.next_part(wait)
-        if not isinstance(part, h11.Response):
-            raise http1.ResponseBroken("no response head")
-        head = translating.read_response_head(part.status_code, part.headers.raw_items())
-        claim = answers.Claim(head.status, head.request_id, head.not_run, head.framed)
-        return head, self.conn.history.judge(claim)
+        while not isinstance(part := await self.next_part(wait, since), h11.EndOfMessage):
+            size += len(part.data) if isinstance(part, h11.Data) else 0
+            if size > MAX_PASSED_OVER_BYTES:
+                raise http1.ResponseBroken("copy of an earlier answer without end")
+        self.conn.history.pass_over()
+        self.conn.expect_another_response()
+        self._ctx.meter.count("answers_passed_over")
+        self._ctx.log.write(
+            "answer_passed_over",
+            request=self._req.head.id,
+            engine=self.state.engine.id,
+            status=head.status,
+            names=head.request_id,
+        )
+        return size
 
     def _find_obstacle(self, within_limit: bool) -> str:
         """Return why the request must not be sent after all; empty if it may be.
--- a/berylrock/daemons/gateway/pool.py
+++ b/berylrock/daemons/gateway/pool.py
@@ -84,9 +84,17 @@
         return await PooledConnection.open(engine.address, timeout_s)
 
     def release(self, engine: routing.Engine, conn: PooledConnection, closes: bool) -> None:
-        """Keep a connection after a complete response, or close it if it cannot be reused."""
+        """Keep a connection after a complete response, or close it if it cannot be reused.
+
+        One on which the engine has copied an answer is closed: further copies may follow.
+        """
         fresh = conn.responses_read == 0 and conn.usable
-        if closes or self._closed or not (fresh or conn.reset_for_reuse()):
+        if (
+            closes
+            or self._closed
+            or conn.history.passed_over
+            or not (fresh or conn.reset_for_reuse())
+        ):
             conn.close()
             return
         self._idle.setdefault(engine.address, []).append(conn)
--- a/berylrock/ops/answers.py
+++ b/berylrock/ops/answers.py
@@ -76,9 +76,14 @@
 
 
 class ConnectionHistory:
-    """The requests that one connection to an engine has carried, and what answers there prove."""
+    """The requests that one connection to an engine has carried, and what answers there prove.
+
+    Attributes:
+      passed_over: Number of copies of earlier answers that arrived so far.
+    """
 
     def __init__(self) -> None:
+        self.passed_over = 0
         self._earlier: collections.deque[_Sent] = collections.deque(maxlen=MAX_REMEMBERED)
         self._current: _Sent | None = None
 
@@ -109,7 +114,7 @@
             kind = "refusal" if claim.not_run else "response"
             return Verdict(Meaning.UNRELATED, f"{kind} that names no request")
         if claim.names != current.id:
-            return Verdict(Meaning.UNRELATED, "response to another request")
+            return self._judge_other(claim, current)
         if any(item.id == current.id for item in self._earlier):
             return Verdict(
                 Meaning.UNRELATED, "response that an earlier request with its id may get"
@@ -119,3 +124,14 @@
         if claim.status not in REFUSAL_STATUSES:
             return Verdict(Meaning.UNRELATED, "refusal whose status contradicts it")
         return Verdict(Meaning.REFUSAL)
+
+    def _judge_other(self, claim: Claim, current: _Sent) -> Verdict:
+        """Decide about a response that names another request than the current one."""
+        for item in self._earlier:
+            if item.id == claim.names and item.has_no_body == current.has_no_body and claim.framed:
+                return Verdict(Meaning.EARLIER)
+        return Verdict(Meaning.UNRELATED, "response to another request")
+
+    def pass_over(self) -> None:
+        """Record that a copy of an earlier answer was read to its end."""
+        self.passed_over += 1
--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -29,3 +29,16 @@
       | two copies of a refusal         |
       | a copy of an answer             |
       | a copy of an answer in chunks   |
+
+  # Guards against an engine that keeps a request for as long as it copies (LOST).
+  Scenario Outline: An order whose answer comes after <copies> fails, and runs once
+    Given a gateway and a plain engine that writes <copies> before an answer
+    When 4 orders are sent, each after the answer to the one before
+    Then no order begins at two engines, and each that met a copy has an answer of 502
+    And at least 1 of them met a copy
+
+    Examples:
+      | copies                          |
+      | ten copies of a refusal         |
+      | a long copy of an answer        |
+      | a copy without a length         |
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -16,6 +16,15 @@
         "first": copyingengine.make_success(chunked=True, body=b"old"),
         "refuses": False,
     },
+    "ten copies of a refusal": {"first": copyingengine.make_refusal(503), "copies": 10},
+    "a long copy of an answer": {
+        "first": copyingengine.make_success(body=b"x" * 100_000),
+        "refuses": False,
+    },
+    "a copy without a length": {
+        "first": copyingengine.make_refusal(503),
+        "copy": copyingengine.make_refusal(503).replace(b"Content-Length: 0\r\n", b""),
+    },
 }
 
 
@@ -60,19 +69,33 @@
         time.sleep(ORDER_PAUSE_S)
 
 
-@then("no order begins at two engines, and each has an answer of {status:d}")
-def step_once(context, status):
-    """Check the answers, and what the engines have begun to run."""
+def check_once(context):
+    """Check that no order has begun twice."""
     began = [item.decode() for item in context.copying.runs]
     began += [run.headers[ID_HEADER] for run in context.gateway.runs("plain")]
     twice = sorted({item for item in began if began.count(item) > 1})
     assert not twice, f"{len(twice)} of {len(context.answers)} began twice: {twice}"
+
+
+@then("no order begins at two engines, and each has an answer of {status:d}")
+def step_once(context, status):
+    """Check the answers, and what the engines have begun to run."""
+    check_once(context)
     statuses = [item.status for item in context.answers]
     assert statuses == [status] * len(context.answers), statuses
     ids = [item.headers[ID_HEADER] for item in context.answers]
     assert len(set(ids)) == len(ids), "an answer names another request"
 
 
+@then("no order begins at two engines, and each that met a copy has an answer of {status:d}")
+def step_failed(context, status):
+    """Check the answers; the gateway's own name their requests too."""
+    check_once(context)
+    met = [item.decode() for item in context.copying.met]
+    statuses = {item.headers[ID_HEADER]: item.status for item in context.answers}
+    assert all(statuses[item] == status for item in met), (met, statuses)
+
+
 @then("at least {count:d} of them met a copy")
 def step_met(context, count):
     """Check that the scenario has shown what it is about."""
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -198,6 +198,13 @@
         "",
         "at an address is not sent to that address again",
     ),
+    Mutant(
+        "copy-fails",
+        "ops/answers.py",
+        "                return Verdict(Meaning.EARLIER)\n",
+        "                break\n",
+        "gets its own answer",
+    ),
     Mutant(
         "largest-gives-way",
         "ops/buffering.py",
--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -35,7 +35,7 @@
       port: Port on which the engine listens; 0 before ``start``.
     """
 
-    def __init__(self, first, copies=1, by_id=False, refuses=True, answer=None):
+    def __init__(self, first, copies=1, by_id=False, refuses=True, answer=None, copy=None):
         """Prepare the engine.
 
         Args:
@@ -45,6 +45,7 @@
             request does.
           refuses: Whether a request that gets it does not run.
           answer: The answer of the others.
+          copy: What is written in place of the copied answer; None to write it as it was.
         """
         self.arrived, self.runs, self.met = [], [], []
         self.port = 0
@@ -52,6 +53,7 @@
         self._copies = copies
         self._by_id = by_id
         self._refuses = refuses
+        self._copy = copy or first
         self._answer = answer or make_success()
         self._server = None
 
@@ -73,10 +75,10 @@
                 seen = request_id in self.arrived
                 self.arrived.append(request_id)
                 if not (seen if self._by_id else carried):
-                    due = self._first.replace(b"{id}", request_id)
+                    due = self._copy.replace(b"{id}", request_id)
                     if not self._refuses:
                         self.runs.append(request_id)
-                    writer.write(due)
+                    writer.write(self._first.replace(b"{id}", request_id))
                 else:
                     await self._run(writer, request_id, due)
                     due = b""
