--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -41,8 +41,9 @@
         Args:
           first: The answer that is copied; ``{id}`` in it stands for the id of its request.
           copies: How often the answer is written again.
-          by_id: Whether each id gets it the first time it comes; otherwise each connection's first
-            request does.
+          by_id: Whether each id gets it the first time it comes, and its copy when it comes again,
+            on any connection; otherwise each connection's first request gets it, and the next one
+            meets the copy.
           refuses: Whether a request that gets it does not run.
           answer: The answer of the others.
           copy: What is written in place of the copied answer; None to write it as it was.
@@ -80,6 +81,9 @@
                         self.runs.append(request_id)
                     writer.write(self._first.replace(b"{id}", request_id))
                 else:
+                    if self._by_id:
+                        # As a proxy, which copies an answer to any connection.
+                        due = self._copy.replace(b"{id}", request_id)
                     await self._run(writer, request_id, due)
                     due = b""
                 carried += 1
