--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -191,6 +191,13 @@
         "        if False:\n",
         "An order that an engine has refused is not sent to it again",
     ),
+    Mutant(
+        "slow-for-good",
+        "ops/selection.py",
+        "    is_known = item.sent_number > criteria.outdated_before\n",
+        "    is_known = True\n",
+        "The only answer of an engine was slow",
+    ),
     Mutant(
         "address-again",
         "ops/selection.py",
