--- /dev/null
+++ b/features/gateway_answers.feature
@@ -0,0 +1,11 @@
+Feature: What answers on connections to engines prove
+  Requests go through a gateway's own forwarding, to engines in memory that copy earlier answers.
+
+  # Guards against any order of refusals, copies and repeats that makes a request run twice, or fails a sound one (TWICE, LOST).
+  @promise.once @promise.not_run @promise.answer
+  Scenario: Whatever engines copy, requests run once, keep their own answers, and are told the truth
+    Then no play of sends, refusals, runs, copies, pauses and repeats breaks a promise
+
+  # Guards against a copy that is taken for an answer because its request is long past (TWICE).
+  Scenario: A connection knows the last 64 requests that it has carried
+    Then a copy for one of these is passed over, and one for an older request proves nothing
--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -30,6 +30,14 @@
       | a copy of an answer             |
       | a copy of an answer in chunks   |
 
+  # Guards against the copy of an answer without a body that is taken for one without an end (LOST).
+  @promise.answer
+  Scenario: An order whose answer comes after a copy of one with no body gets its own answer
+    Given a gateway and a plain engine that writes a copy of an answer with no body before an answer
+    When 12 orders are sent, each after the answer to the one before
+    Then no order begins at two engines, and each has an answer of 200 or 204
+    And at least 2 of them met a copy
+
   # Guards against an engine that keeps a request for as long as it copies (LOST).
   Scenario Outline: An order whose answer comes after <copies> fails, and runs once
     Given a gateway and a plain engine that writes <copies> before an answer
--- /dev/null
+++ b/features/steps/gateway_answer_steps.py
@@ -0,0 +1,50 @@
+"""Steps on what answers on connections to engines prove, without a network."""
+
+import collections
+
+import hypothesis
+from behave import then
+from support import answer_data, answersim, gateway_data
+
+from berylrock.ops import answers
+
+PLAYS = 1500
+
+
+@then("no play of sends, refusals, runs, copies, pauses and repeats breaks a promise")
+def step_plays(context):
+    """Play drawn moves, and check that the plays have shown what they are about."""
+    seen = collections.Counter()
+
+    @hypothesis.settings(
+        gateway_data.property_settings,
+        max_examples=PLAYS,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(answer_data.plays())
+    def check(drawn):
+        play = answersim.Play(*drawn)
+        play.run()
+        assert not play.faults, (play.faults, drawn)
+        seen["copies passed over"] += play.met
+        seen["answers"] += sum(item.body is not None for item in play.results)
+        seen["not run"] += sum(item.status == 503 for item in play.results)
+        seen["unknown"] += sum(item.status == 502 for item in play.results)
+
+    check()
+    assert all(seen[name] >= PLAYS / 10 for name in seen) and len(seen) == 4, seen
+
+
+@then("a copy for one of these is passed over, and one for an older request proves nothing")
+def step_last(context):
+    """Judge copies of all requests that a connection has carried."""
+    history = answers.ConnectionHistory()
+    count = 2 * answers.MAX_REMEMBERED
+    for number in range(count + 1):
+        history.begin(f"{number:016x}", "POST")
+    meanings = [
+        history.judge(answers.Claim(503, f"{number:016x}", True, True)).meaning
+        for number in range(count)
+    ]
+    unknown = [answers.Meaning.UNRELATED] * answers.MAX_REMEMBERED
+    assert meanings == unknown + [answers.Meaning.EARLIER] * answers.MAX_REMEMBERED, meanings
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -16,6 +16,10 @@
         "first": copyingengine.make_success(chunked=True, body=b"old"),
         "refuses": False,
     },
+    "a copy of an answer with no body": {
+        "first": copyingengine.make_success(status=204, body=b""),
+        "refuses": False,
+    },
     "ten copies of a refusal": {"first": copyingengine.make_refusal(503), "copies": 10},
     "a long copy of an answer": {
         "first": copyingengine.make_success(body=b"x" * 100_000),
@@ -80,9 +84,20 @@
 @then("no order begins at two engines, and each has an answer of {status:d}")
 def step_once(context, status):
     """Check the answers, and what the engines have begun to run."""
+    check_answered(context, {status})
+
+
+@then("no order begins at two engines, and each has an answer of 200 or 204")
+def step_success(context):
+    """Check the same where some answers have no body."""
+    check_answered(context, {200, 204})
+
+
+def check_answered(context, allowed):
+    """Check that no order has begun twice, and that each has an answer of its own."""
     check_once(context)
     statuses = [item.status for item in context.answers]
-    assert statuses == [status] * len(context.answers), statuses
+    assert set(statuses) <= allowed, statuses
     ids = [item.headers[ID_HEADER] for item in context.answers]
     assert len(set(ids)) == len(ids), "an answer names another request"
 
--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -7,6 +7,8 @@
 LENGTH_HEADER = b"content-length: "
 NOT_RUN = b"X-Berylrock-Not-Executed: 1\r\n"
 SIGNED = b"X-Berylrock-Response-Signature: s\r\n"
+# Its answers have no body, and no length.
+NO_CONTENT = 204
 # Time from the copy to the answer that is due.
 ANSWER_DELAY_S = 0.02
 
@@ -17,9 +19,11 @@
     return head + NOT_RUN + b"Content-Length: 0\r\n\r\n"
 
 
-def make_success(chunked=False, body=b"done"):
+def make_success(chunked=False, body=b"done", status=200):
     """Return a success; ``{id}`` stands for the id of the request."""
-    head = b"HTTP/1.1 200 OK\r\nX-Berylrock-Attempt-Id: {id}\r\n" + SIGNED
+    head = b"HTTP/1.1 %d OK\r\nX-Berylrock-Attempt-Id: {id}\r\n" % status + SIGNED
+    if status == NO_CONTENT:
+        return head + b"\r\n"
     if chunked:
         return head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
     return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
