--- a/berylrock/ops/answers.py
+++ b/berylrock/ops/answers.py
@@ -20,6 +20,8 @@
 REFUSAL_STATUSES = frozenset(
     (BAD_REQUEST, REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE)
 )
+# Responses with these statuses have no body, and so need no length.
+BODILESS_STATUSES = frozenset((204, 304))
 # Latest requests of a connection whose answers may still be copied.
 MAX_REMEMBERED = 64
 
@@ -127,8 +129,9 @@
 
     def _judge_other(self, claim: Claim, current: _Sent) -> Verdict:
         """Decide about a response that names another request than the current one."""
+        ends = claim.framed or current.has_no_body or claim.status in BODILESS_STATUSES
         for item in self._earlier:
-            if item.id == claim.names and item.has_no_body == current.has_no_body and claim.framed:
+            if item.id == claim.names and item.has_no_body == current.has_no_body and ends:
                 return Verdict(Meaning.EARLIER)
         return Verdict(Meaning.UNRELATED, "response to another request")
 
--- a/features/support/answerengine.py
+++ b/features/support/answerengine.py
@@ -187,7 +187,7 @@
             wire.carried.append(wire.current)
         wire.current = request
         run = Run(request[1], wire)
-        self._play.unproved[request[1]] += 1
+        self._play.arrive(wire, request)
         if move.kind != "refuse":
             self._play.begin(run)
         self._write_copies(wire, move.before)
--- /dev/null
+++ b/features/support/answermutants.py
@@ -0,0 +1,94 @@
+"""Source changes to what answers on connections prove, and the scenarios that have to fail then."""
+
+from support.mutanttypes import Edit, Mutant
+
+PLAYS = "Whatever engines copy, requests run once"
+HAS_CARRIED = "            if conns[index].history.has_carried(request_id):\n"
+
+MUTANTS = (
+    Mutant(
+        "plays-address-again",
+        "ops/selection.py",
+        "        and item.engine.address not in criteria.left\n",
+        "",
+        PLAYS,
+    ),
+    Mutant(
+        "plays-connection-again",
+        "daemons/gateway/pool.py",
+        HAS_CARRIED,
+        "            if False:\n",
+        PLAYS,
+    ),
+    Mutant(
+        "plays-own-copy",
+        "ops/answers.py",
+        "        if any(item.id == current.id for item in self._earlier):\n",
+        "        if False:\n",
+        PLAYS,
+        (Edit("daemons/gateway/pool.py", HAS_CARRIED, "            if False:\n"),),
+    ),
+    Mutant(
+        "plays-copy-fails",
+        "ops/answers.py",
+        "                return Verdict(Meaning.EARLIER)\n",
+        "                break\n",
+        PLAYS,
+    ),
+    Mutant(
+        "plays-nameless",
+        "ops/answers.py",
+        "        if not claim.names:\n",
+        "        if False:\n",
+        PLAYS,
+        (
+            Edit(
+                "ops/answers.py",
+                "        if claim.names != current.id:\n",
+                "        if claim.names and claim.names != current.id:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "plays-names-another",
+        "ops/answers.py",
+        "        if claim.names != current.id:\n",
+        "        if False:\n",
+        PLAYS,
+    ),
+    Mutant(
+        "plays-no-body",
+        "ops/answers.py",
+        "BODILESS_STATUSES = frozenset((204, 304))\n",
+        "BODILESS_STATUSES = frozenset()\n",
+        PLAYS,
+    ),
+    Mutant(
+        "copy-no-body",
+        "ops/answers.py",
+        "BODILESS_STATUSES = frozenset((204, 304))\n",
+        "BODILESS_STATUSES = frozenset()\n",
+        "comes after a copy of one with no body",
+    ),
+    Mutant(
+        "copies-endless",
+        "daemons/gateway/attempt.py",
+        "MAX_PASSED_OVER = 4\n",
+        "MAX_PASSED_OVER = 1_000_000\n",
+        "after ten copies of a refusal fails, and runs once",
+    ),
+    Mutant(
+        "copies-long",
+        "daemons/gateway/attempt.py",
+        "MAX_PASSED_OVER_BYTES = 65_536\n",
+        "MAX_PASSED_OVER_BYTES = 65_536_000\n",
+        "after a long copy of an answer fails, and runs once",
+    ),
+    Mutant(
+        "copies-forgotten",
+        "ops/answers.py",
+        "MAX_REMEMBERED = 64\n",
+        "MAX_REMEMBERED = 1\n",
+        PLAYS,
+    ),
+)
--- a/features/support/answersim.py
+++ b/features/support/answersim.py
@@ -12,8 +12,8 @@
 from unittest import mock
 
 from berylrock.core import eventlog, gatewaysettings, metrics, routing, timer
-from berylrock.daemons.gateway import attempt, context, forwarding, pool
-from berylrock.ops import answers, routetable
+from berylrock.daemons.gateway import context, forwarding, pool
+from berylrock.ops import routetable
 
 from . import answerengine, gateway_data, virtualtime
 
@@ -22,6 +22,9 @@
 RUN_ONCE = gateway_data.make_route("o", "/o/", kind="non_idempotent", max_attempts=1)
 # Statuses by which a caller learns that its request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A sound answer must arrive after this many copies and bytes of them, of requests among the last
+# that its connection has carried.
+COPIES, COPIED_BYTES, REMEMBERED = 4, 65_536, 64
 BOUNDS = gatewaysettings.Bounds(retry_ratio=1.0, retry_extra=1000.0)
 SETTINGS = gatewaysettings.GatewaySettings(
     "g", "a", "r", "x", ("x", 1), ("x", 2), ("x", 3), 4, 1000, 0.0, 0.0, 1.0, BOUNDS
@@ -115,18 +118,23 @@
             self.faults.append(f"call {number} runs at two engines")
         self.runs.append(run)
 
+    def arrive(self, wire, request):
+        """Record that a request has arrived on a connection."""
+        self.unproved[request[1]] += 1
+        if request[0] in [name for name, _, _ in wire.carried[-REMEMBERED:]]:
+            self.faults.append(f"call {request[1]} came twice on one connection")
+
     def expect(self, wire, request, move, item):
         """Record that the answer that is about to be written must reach its caller, if it must."""
         copies = wire.pending
-        earlier = wire.carried[-answers.MAX_REMEMBERED :]
+        earlier = wire.carried[-REMEMBERED:]
         same = {name for name, _, method in earlier if (method == "HEAD") == (request[2] == "HEAD")}
-        own_before = any(name == request[0] for name, _, _ in earlier)
         sound = all(
             copy.framed and copy.names in same and copy.no_body == item.no_body for copy in copies
         )
         size = sum(len(copy.body) for copy in copies)
-        few = len(copies) <= attempt.MAX_PASSED_OVER and size <= attempt.MAX_PASSED_OVER_BYTES
-        if not (sound and few) or own_before:
+        few = len(copies) <= COPIES and size <= COPIED_BYTES
+        if not (sound and few):
             return
         self.met += len(copies)
         if move.kind == "refuse":
