--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -8,19 +8,16 @@
 
 from berylrock.adapters import http1
 from berylrock.core import errors, routing
-from berylrock.daemons.gateway import context, crashes, noticing, pool
-from berylrock.ops import answers, enginestate, enginework, timeouts
+from berylrock.daemons.gateway import context, crashes, dueresponse, noticing, pool
+from berylrock.ops import enginestate, enginework, timeouts
 from berylrock.platform import translating
 
 __all__ = ["TIMED_OUT", "Attempt", "DeadlineExceeded", "EngineTooSlow", "Failure", "OpenedResponse"]
 
-BAD_REQUEST = 400
+BAD_REQUEST, MISDIRECTED = 400, 421
 # Back-off for an engine that refused a request and asked for no pause.
 DEFAULT_BUSY_PAUSE_S = 0.15
 REFUSAL_READ_TIMEOUT_S = 0.2
-# Copies of earlier answers, and their bytes, that one attempt passes over.
-MAX_PASSED_OVER = 4
-MAX_PASSED_OVER_BYTES = 65_536
 MIN_DEADLINE_S = 0.001
 SILENCE_CHECK_S = 0.1
 # Reason of a failed attempt whose engine was silent or too slow, or whose deadline passed.
@@ -59,6 +56,7 @@
 
     Attributes:
       state: State of the engine.
+      engine: The engine as it was when the request was given to it.
       model: Model that the gateway asked for; empty to use the caller's.
       sent_at: When the attempt started, on the event loop's clock.
       work_ahead: Work at the engine when the request was sent, including its own.
@@ -75,8 +73,21 @@
         state: enginestate.EngineState,
         model: str,
         can_fail_over: Callable[[], bool],
+        returns: bool = False,
     ) -> None:
+        """Prepare an attempt.
+
+        Args:
+          ctx: State of the gateway.
+          conns: Connections to engines.
+          req: The request.
+          state: State of the engine.
+          model: Model to ask for; empty to use the caller's.
+          can_fail_over: Tells whether another engine could take the request now.
+          returns: Whether the request may have arrived at the engine's address before.
+        """
         self.state = state
+        self.engine = state.engine
         self.model = model
         self.sent_at = 0.0
         self.work_ahead = 0.0
@@ -89,6 +100,8 @@
         service = ctx.table.services.get(req.service) if ctx.table is not None else None
         self._work = enginework.estimate(req.head, service, model).prefill
         self._open = False
+        self._has_head = False
+        self._returns = returns
 
     async def next_part(
         self, wait: timeouts.ResponseTimeouts | None, since: float | None = None
@@ -181,7 +194,7 @@
     ) -> "OpenedResponse | Failure":
         """Send the request and read the head of the response; arguments are those of ``start``."""
         loop = asyncio.get_running_loop()
-        engine, req = self.state.engine, self._req
+        engine, req = self.engine, self._req
         self.sent_at = loop.time()
         self._open = True
         within_limit = self.state.notices.limit.limited
@@ -206,64 +219,27 @@
         try:
             self.conn.history.begin(req.head.id, req.head.method)
             await self.conn.send(req.head.method, req.head.target, headers, req.body)
-            judged = await self._read_head(wait)
+            due = await self._read_head(wait)
         except (DeadlineExceeded, EngineTooSlow):
             return self._fail(TIMED_OUT)
         except http1.ResponseBroken as exc:
             self.record_broken()
             return self._fail(f"broken: {exc}")
-        return await self._validate(*judged)
-
-    async def _read_head(
-        self, wait: timeouts.ResponseTimeouts | None
-    ) -> tuple[translating.ResponseHead, answers.Verdict]:
-        """Read the first head that is no copy of an earlier answer, and judge it.
-
-        Raises:
-          DeadlineExceeded, EngineTooSlow, ResponseBroken: As ``next_part``; copies are no progress.
-        """
-        assert self.conn is not None
-        since, size = asyncio.get_running_loop().time(), 0
-        for _ in range(1 + MAX_PASSED_OVER):
-            part = await self.next_part(wait, since)
-            if not isinstance(part, h11.Response):
-                raise http1.ResponseBroken("no response head")
-            head = translating.read_response_head(part.status_code, part.headers.raw_items())
-            claim = answers.Claim(head.status, head.request_id, head.not_run, head.framed)
-            verdict = self.conn.history.judge(claim)
-            if verdict.meaning is not answers.Meaning.EARLIER:
-                return head, verdict
-            size = await self._pass_over(head, wait, since, size)
-        raise http1.ResponseBroken("copies of earlier answers without end")
-
-    async def _pass_over(
-        self,
-        head: translating.ResponseHead,
-        wait: timeouts.ResponseTimeouts | None,
-        since: float,
-        size: int,
-    ) -> int:
-        """Read a copy of an earlier answer to its end; ``size`` bytes of others were read before.
+        return await self._validate(due)
 
-        Returns:
-          The bytes of all of them.
-        """
+    async def _read_head(self, wait: timeouts.ResponseTimeouts | None) -> dueresponse.DueHead:
+        """Read the head that is due; copies before it are no sign of life of the engine."""
         assert self.conn is not None
-        while not isinstance(part := await self.next_part(wait, since), h11.EndOfMessage):
-            size += len(part.data) if isinstance(part, h11.Data) else 0
-            if size > MAX_PASSED_OVER_BYTES:
-                raise http1.ResponseBroken("copy of an earlier answer without end")
-        self.conn.history.pass_over()
-        self.conn.expect_another_response()
-        self._ctx.meter.count("answers_passed_over")
-        self._ctx.log.write(
-            "answer_passed_over",
-            request=self._req.head.id,
-            engine=self.state.engine.id,
-            status=head.status,
-            names=head.request_id,
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        exchange = dueresponse.Exchange(
+            *(self._req.head.id, self.engine, self.conn),
+            next_part=lambda: self.next_part(wait, since),
         )
-        return size
+        due = await dueresponse.read_head(self._ctx, exchange)
+        self._has_head = True
+        self.state.heard_at = loop.time()
+        return due
 
     def _find_obstacle(self, within_limit: bool) -> str:
         """Return why the request must not be sent after all; empty if it may be.
@@ -282,11 +258,10 @@
         notices.limit.take(now)
         return ""
 
-    async def _validate(
-        self, head: translating.ResponseHead, verdict: answers.Verdict
-    ) -> "OpenedResponse | Failure":
+    async def _validate(self, due: dueresponse.DueHead) -> "OpenedResponse | Failure":
         """Check that the response belongs to this request and comes from an engine that ran it."""
         now = asyncio.get_running_loop().time()
+        head, verdict = due
         if not head.request_id or head.request_id == self._req.head.id:
             noticing.record(self._ctx, self.state, head)
         if head.not_run:
@@ -306,8 +281,8 @@
             self._ctx.meter.count("refusals_doubted")
             return self._fail(f"{doubt}: {head.status}")
         self._ctx.meter.count("refusals_believed")
+        now = asyncio.get_running_loop().time()
         if head.status != BAD_REQUEST:
-            now = asyncio.get_running_loop().time()
             self.state.health.record_busy(now, DEFAULT_BUSY_PAUSE_S)
         return await self._end_refused(head)
 
@@ -320,8 +295,8 @@
         self._ctx.log.write(
             "refusal_judged",
             request=self._req.head.id,
-            engine=self.state.engine.id,
-            address=self.state.engine.host_port,
+            engine=self.engine.id,
+            address=self.engine.host_port,
             status=head.status,
             names=head.request_id,
             carried=self.conn.responses_read,
@@ -332,7 +307,8 @@
         """End an attempt that the engine refused.
 
         If the engine may get the request again, after a pause, that must not happen on a connection
-        on which a second copy of this refusal may follow.
+        on which a second copy of this refusal may follow. If the request was sent to this address
+        before, this may be the copy, and the engine has to learn that nobody waits for its run.
         """
         paused = bool(self.state.notices.obstacle(asyncio.get_running_loop().time()))
         if paused:
@@ -387,7 +363,7 @@
         """End the attempt before anything is sent, and keep its connection for others."""
         assert self.conn is not None
         self._ctx.meter.count("sends_withdrawn")
-        self._conns.release(self.state.engine, self.conn, False)
+        self._conns.release(self.engine, self.conn, False)
         self.conn = None
         self.end()
         return Failure(False, reason, arrived=False, paused=True)
@@ -415,7 +391,7 @@
             self._open = False
             self.state.end(self._work)
             self.conn.keep_alive_s = head.keep_alive_s
-            self._conns.release(self.state.engine, self.conn, head.closes)
+            self._conns.release(self.engine, self.conn, head.closes)
 
 
 class OpenedResponse(NamedTuple):
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -32,7 +32,7 @@
     Attributes:
       sent_to: Ids of the engines that the request was sent to.
       tried: Those that it is not sent to again; one that asked for a pause may get it after that.
-      left: Addresses that it is not sent to again, because it may run once and may have arrived.
+      reached: Addresses at which it may have arrived.
       attempts_run: Attempts that an engine may have run.
       attempts_sent: All attempts.
       attempts_arrived: Attempts that may have reached an engine; all but the first are retries.
@@ -46,7 +46,7 @@
     ) -> None:
         self.sent_to: set[str] = set()
         self.tried: set[str] = set()
-        self.left: set[tuple[str, int]] = set()
+        self.reached: set[tuple[str, int]] = set()
         self.attempts_run = 0
         self.attempts_sent = 0
         self.attempts_arrived = 0
@@ -145,7 +145,7 @@
             preferred=offer.preferred,
             limits=ctx.limit_shares(),
             outdated_before=self._outdated_before(group),
-            left=frozenset(self.left),
+            left=self._left,
         )
         return selection.choose(offer.states, criteria, ctx.rng, ctx.load_view)
 
@@ -176,9 +176,15 @@
         """Return the engines of the request's version that it was not sent to."""
         return [item for item in self._engines(now) if self._may_get(item.engine)]
 
+    @property
+    def has_tried_all(self) -> bool:
+        """Whether there are engines for the request, and it may be sent to none of them again."""
+        engines = self._engines(asyncio.get_running_loop().time())
+        return bool(engines) and not any(self._may_get(item.engine) for item in engines)
+
     def _may_get(self, engine: routing.Engine) -> bool:
         """Tell whether the request may be sent to an engine, as far as it was sent before."""
-        return engine.id not in self.tried and engine.address not in self.left
+        return engine.id not in self.tried and engine.address not in self._left
 
     def _engines(self, now: float) -> list[enginestate.EngineState]:
         """Return the engines of the request's version."""
@@ -265,7 +271,9 @@
         self.record_session()
         self._record_choice(state)
         current = self._current = attempt.Attempt(
-            self._ctx, self._conns, self._req, state, model, lambda: self.can_fail_over(model)
+            *(self._ctx, self._conns, self._req, state, model),
+            can_fail_over=lambda: self.can_fail_over(model),
+            returns=state.engine.address in self.reached,
         )
         self._log_sent(state, model, last_event)
         # Counted before sending, because the engine may run the request as soon as a byte arrives.
@@ -285,19 +293,25 @@
             self.attempts_run -= not result.may_have_run
             self.attempts_arrived -= not result.arrived
             self.last_reason = result.reason
-            self._record_place(state.engine, result)
+            if result.paused and self._may_return_after(result):
+                self.tried.discard(current.engine.id)
+        if isinstance(result, attempt.OpenedResponse) or result.arrived:
+            self.reached.add(current.engine.address)
         return result
 
-    def _record_place(self, engine: routing.Engine, failure: attempt.Failure) -> None:
-        """Record where the request may be sent after a failed attempt.
+    @property
+    def _left(self) -> frozenset[tuple[str, int]]:
+        """Addresses that the request is not sent to again, as it may run once.
 
         A second refusal could not be told from a copy of the first one, and the process at an
         address may be known under several ids.
         """
-        if failure.arrived and not routing.is_repeatable(self._req.route):
-            self.left.add(engine.address)
-        elif failure.paused:
-            self.tried.discard(engine.id)
+        is_repeatable = routing.is_repeatable(self._req.route)
+        return frozenset() if is_repeatable else frozenset(self.reached)
+
+    def _may_return_after(self, failure: attempt.Failure) -> bool:
+        """Tell whether the request may be sent to the engine of this attempt again."""
+        return not failure.arrived or routing.is_repeatable(self._req.route)
 
     def _record_choice(self, state: enginestate.EngineState) -> None:
         """Count a request of the service, and record that the engine gets it."""
--- a/berylrock/ops/notices.py
+++ b/berylrock/ops/notices.py
@@ -51,11 +51,14 @@
         self.paused_until = max(self.paused_until, now + seconds)
 
     def record_hint(self, now: float) -> None:
-        """Record that another gateway reports that the engine leaves."""
+        """Record that the engine may be gone.
+
+        Another gateway reports that it leaves, or a process at its address says that it is another.
+        """
         self._avoided_until = now + HINT_TTL_S
 
     def is_avoided(self, now: float) -> bool:
-        """Tell whether other engines are preferred, because another gateway saw this one leave."""
+        """Tell whether other engines are preferred, because this one may be gone."""
         return now < self._avoided_until
 
 
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -187,9 +187,16 @@
     Mutant(
         "second-send",
         "daemons/gateway/sending.py",
-        "        if failure.arrived and not routing.is_repeatable(self._req.route):\n",
-        "        if False:\n",
+        "        return not failure.arrived or routing.is_repeatable(self._req.route)\n",
+        "        return True\n",
         "An order that an engine has refused is not sent to it again",
+        (
+            Edit(
+                "daemons/gateway/sending.py",
+                "frozenset() if is_repeatable else frozenset(self.reached)",
+                "frozenset()",
+            ),
+        ),
     ),
     Mutant(
         "slow-for-good",
--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -1,6 +1,7 @@
 """A stand-in for an engine that writes earlier answers once more on its kept connections."""
 
 import asyncio
+import time
 
 from .rawengine import HEAD_BYTES, ID_HEADER
 
@@ -11,6 +12,8 @@
 NO_CONTENT = 204
 # Time from the copy to the answer that is due.
 ANSWER_DELAY_S = 0.02
+# Time between two looks whether a connection has ended.
+LOOK_S = 0.005
 
 
 def make_refusal(status):
@@ -35,11 +38,21 @@
     Attributes:
       arrived: Ids of the requests, in order of arrival.
       runs: Ids of the requests that it has begun to run.
+      ran_s: How long each run went on after the copy, in seconds.
       met: Ids of the requests before whose answers it has written a copy.
       port: Port on which the engine listens; 0 before ``start``.
     """
 
-    def __init__(self, first, copies=1, by_id=False, refuses=True, answer=None, copy=None):
+    def __init__(
+        self,
+        first,
+        copies=1,
+        by_id=False,
+        refuses=True,
+        answer=None,
+        copy=None,
+        run_s=ANSWER_DELAY_S,
+    ):
         """Prepare the engine.
 
         Args:
@@ -51,10 +64,13 @@
           refuses: Whether a request that gets it does not run.
           answer: The answer of the others.
           copy: What is written in place of the copied answer; None to write it as it was.
+          run_s: How long a run goes on after the copy, unless its connection ends, in seconds.
         """
         self.arrived, self.runs, self.met = [], [], []
         self.port = 0
         self._first = first
+        self.ran_s = []
+        self._run_s = run_s
         self._copies = copies
         self._by_id = by_id
         self._refuses = refuses
@@ -88,7 +104,7 @@
                     if self._by_id:
                         # As a proxy, which copies an answer to any connection.
                         due = self._copy.replace(b"{id}", request_id)
-                    await self._run(writer, request_id, due)
+                    await self._run(reader, writer, request_id, due)
                     due = b""
                 carried += 1
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -104,12 +120,21 @@
         await reader.readexactly(int(length or 0))
         return head.partition(ID_HEADER)[2].partition(b"\r\n")[0]
 
-    async def _run(self, writer, request_id, due):
+    async def _run(self, reader, writer, request_id, due):
         """Run a request, and write the copies of an earlier answer before its own."""
         self.runs.append(request_id)
         if due:
             self.met.append(request_id)
             writer.write(due * self._copies)
-            await asyncio.sleep(ANSWER_DELAY_S)
+            await self._work(reader)
         writer.write(self._answer.replace(b"{id}", request_id))
         await writer.drain()
+
+    async def _work(self, reader):
+        """Run a request until it is done, or until its connection ends."""
+        began_at = time.monotonic()
+        while time.monotonic() < began_at + self._run_s:
+            if reader.at_eof() or reader.exception() is not None:
+                break
+            await asyncio.sleep(LOOK_S)
+        self.ran_s.append(time.monotonic() - began_at)
--- a/features/support/platform/engine.py
+++ b/features/support/platform/engine.py
@@ -145,7 +145,8 @@
             return await self._respond_unread(conn, writer, run, self.faults.pop(0))
         run.body = await self._read_body(conn)
         if run.headers.get("x-berylrock-target-instance", self.id) != self.id:
-            return await self._send_response(conn, 421, [], b"")
+            headers = [("X-Berylrock-Attempt-Id", run.headers[ATTEMPT_ID_HEADER])]
+            return await self._send_response(conn, 421, headers, b"")
         now, attempt_id = time.monotonic(), run.headers[ATTEMPT_ID_HEADER]
         if self.pause_s:
             self._paused_until, self.pause_s = now + self.pause_s, 0.0
--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -135,8 +135,8 @@
     forwarding.Forwarding.response_start_timeouts = wait_for_all
     begin = attempt.Attempt.__init__
 
-    def begin_anyhow(self, ctx, conns, req, state, model, can_fail_over):
-        begin(self, ctx, conns, req, state, model, lambda: True)
+    def begin_anyhow(self, *args, **options):
+        begin(self, *args, **options | {"can_fail_over": lambda: True})
 
     attempt.Attempt.__init__ = begin_anyhow
 
