--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -311,7 +311,7 @@
         before, this may be the copy, and the engine has to learn that nobody waits for its run.
         """
         paused = bool(self.state.notices.obstacle(asyncio.get_running_loop().time()))
-        if paused:
+        if paused or self._returns:
             self.end()
         else:
             await self._drain_refusal(head)
--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -15,6 +15,13 @@
       | 503    |
       | 429    |
 
+  # Guards against a run that goes on, as nobody waits for its answer, while its read runs elsewhere (TWICE).
+  @promise.once
+  Scenario: A read whose refusal is copied when it comes to another id at the address runs nowhere else meanwhile
+    Given a gateway and a process that is known under two ids, runs reads for long, and copies their refusals before
+    When 12 reads are sent, each after the answer to the one before
+    Then each has an answer of 200, and no run that was given up goes on for 0.4 s
+
   # Guards against a sound answer that is failed because of an earlier one's copy (LOST).
   @promise.answer
   Scenario Outline: An order whose answer comes after <copies> gets its own answer
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -7,6 +7,10 @@
 
 # Pause between orders, after which an engine that has refused one may get the next.
 ORDER_PAUSE_S = 0.18
+# Longer than the time for which a request may run at two engines.
+LONG_RUN_S = 0.8
+# Longest time in which an order that no engine can take is refused.
+AT_ONCE_S = 0.1
 ID_HEADER = "x-berylrock-attempt-id"
 ENGINES = {
     "a copy of a refusal": {"first": copyingengine.make_refusal(503)},
@@ -64,6 +68,37 @@
     start(context, copyingengine.CopyingEngine(**ENGINES[copies]), ("plain-copy",))
 
 
+@given(
+    "a gateway and a process that is known under two ids, runs reads for long, and copies their"
+    " refusals before"
+)
+def step_long_reads(context):
+    """Start them."""
+    refusal = copyingengine.make_refusal(503)
+    engine = copyingengine.CopyingEngine(refusal, by_id=True, run_s=LONG_RUN_S)
+    start(context, engine, ("plain-copy-1", "plain-copy-2"))
+
+
+@given("a gateway whose only plain engine has started again under a new id")
+def step_restarted(context):
+    """Start an engine, and write the entry that it had under its old id."""
+    scenario.start_gateway(context, plain=1, models=1)
+    running = context.gateway
+    (engine,) = scenario.plain_engines(context)
+    entry = fleet.make_entry("plain", f"127.0.0.1:{engine.port}")
+    running.put("servers", "plain-old", entry)
+    running.wait(lambda: "engine=plain-old what=added" in running.log(), "the entry is known")
+
+
+@when("{count:d} reads are sent, each after the answer to the one before")
+def step_reads(context, count):
+    """Send them with a pause between them."""
+    context.answers = []
+    for _ in range(count):
+        context.answers.append(context.gateway.send("GET", "/read/a"))
+        time.sleep(ORDER_PAUSE_S)
+
+
 @when("{count:d} orders are sent, each after the answer to the one before")
 def step_orders(context, count):
     """Send them with a pause between them."""
@@ -115,3 +150,25 @@
 def step_met(context, count):
     """Check that the scenario has shown what it is about."""
     assert len(context.copying.met) >= count, context.copying.met
+
+
+@then("each has an answer of {status:d}, and no run that was given up goes on for {seconds:g} s")
+def step_no_overlap(context, status, seconds):
+    """Check the answers, and how long the runs went on whose refusals were copied."""
+    statuses = [item.status for item in context.answers]
+    assert statuses == [status] * len(context.answers), statuses
+    assert context.copying.ran_s, "no read met a copy"
+    assert max(context.copying.ran_s) < seconds, context.copying.ran_s
+
+
+@then("at most {most:d} of them are refused, at once, and the others have an answer of {status:d}")
+def step_few_refused(context, most, status):
+    """Check the answers, and when the refused ones came."""
+    refused = [item for item in context.answers if item.status == 503]
+    assert len(refused) <= most, [item.status for item in context.answers]
+    assert all(item.status in (status, 503) for item in context.answers), context.answers
+    lines = [line for line in context.gateway.log().splitlines() if "event=request_done" in line]
+    took_ms = [
+        int(line.partition("took_ms=")[2].split()[0]) for line in lines if 'outcome="503' in line
+    ]
+    assert len(took_ms) == len(refused) and max(took_ms, default=0) < AT_ONCE_S * 1000, took_ms
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -212,6 +212,13 @@
         "",
         "at an address is not sent to that address again",
     ),
+    Mutant(
+        "returned-run",
+        "daemons/gateway/attempt.py",
+        "        if paused or self._returns:\n",
+        "        if paused:\n",
+        "A read whose refusal is copied when it comes to another id",
+    ),
     Mutant(
         "copy-fails",
         "ops/answers.py",
