--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -282,6 +282,8 @@
             return self._fail(f"{doubt}: {head.status}")
         self._ctx.meter.count("refusals_believed")
         now = asyncio.get_running_loop().time()
+        if head.status == MISDIRECTED:
+            self.state.notices.record_hint(now)
         if head.status != BAD_REQUEST:
             self.state.health.record_busy(now, DEFAULT_BUSY_PAUSE_S)
         return await self._end_refused(head)
--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -93,6 +93,8 @@
             state = self.dispatcher.choose(model)
             if state is not None:
                 return state
+            if self.dispatcher.has_tried_all:
+                return None
             obstacle = self.dispatcher.find_obstacle()
             if obstacle is not None:
                 until = self._wait_until(obstacle, first_until, wait_s, usual_s)
--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -22,6 +22,12 @@
     When 12 reads are sent, each after the answer to the one before
     Then each has an answer of 200, and no run that was given up goes on for 0.4 s
 
+  # Guards against orders that are refused while an engine could run them (availability).
+  Scenario: An engine that has started again under a new id gets orders while its old entry still stands
+    Given a gateway whose only plain engine has started again under a new id
+    When 12 orders are sent, each after the answer to the one before
+    Then at most 2 of them are refused, at once, and the others have an answer of 200
+
   # Guards against a sound answer that is failed because of an earlier one's copy (LOST).
   @promise.answer
   Scenario Outline: An order whose answer comes after <copies> gets its own answer
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -219,6 +219,13 @@
         "        if paused:\n",
         "A read whose refusal is copied when it comes to another id",
     ),
+    Mutant(
+        "misdirected",
+        "daemons/gateway/attempt.py",
+        "            self.state.notices.record_hint(now)\n",
+        "            pass\n",
+        "An engine that has started again under a new id",
+    ),
     Mutant(
         "copy-fails",
         "ops/answers.py",
