--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -138,7 +138,8 @@
                 if loop.time() >= self._req.expires_at:
                     raise DeadlineExceeded("the request's deadline has passed") from None
                 continue
-            self.state.heard_at = loop.time()
+            if self._has_head:
+                self.state.heard_at = loop.time()
             return part
 
     def _is_stalled(self, wait: timeouts.ResponseTimeouts, since: float) -> bool:
--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -51,6 +51,13 @@
     Then no order begins at two engines, and each has an answer of 200 or 204
     And at least 2 of them met a copy
 
+  # Guards against a copy that counts as a sign of life, so that its read waits for too long.
+  Scenario: A read whose engine writes a copy that does not end goes to another engine in time
+    Given a gateway and a plain engine that writes a copy that does not end before an answer
+    When 4 reads are sent, each after the answer to the one before
+    Then each has an answer of 200 within its target of 1 s
+    And at least 1 of them met a copy
+
   # Guards against an engine that keeps a request for as long as it copies (LOST).
   Scenario Outline: An order whose answer comes after <copies> fails, and runs once
     Given a gateway and a plain engine that writes <copies> before an answer
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -24,6 +24,12 @@
         "first": copyingengine.make_success(status=204, body=b""),
         "refuses": False,
     },
+    "a copy that does not end": {
+        "first": copyingengine.make_success(),
+        "refuses": False,
+        "copy": copyingengine.make_success(chunked=True).partition(b"4\r\n")[0],
+        "drips": True,
+    },
     "ten copies of a refusal": {"first": copyingengine.make_refusal(503), "copies": 10},
     "a long copy of an answer": {
         "first": copyingengine.make_success(body=b"x" * 100_000),
@@ -152,6 +158,12 @@
     assert len(context.copying.met) >= count, context.copying.met
 
 
+def read_times(context, outcome=""):
+    """Return how long the requests with an outcome took, in milliseconds, from the log."""
+    lines = [line for line in context.gateway.log().splitlines() if "event=request_done" in line]
+    return [int(line.partition("took_ms=")[2].split()[0]) for line in lines if outcome in line]
+
+
 @then("each has an answer of {status:d}, and no run that was given up goes on for {seconds:g} s")
 def step_no_overlap(context, status, seconds):
     """Check the answers, and how long the runs went on whose refusals were copied."""
@@ -167,8 +179,14 @@
     refused = [item for item in context.answers if item.status == 503]
     assert len(refused) <= most, [item.status for item in context.answers]
     assert all(item.status in (status, 503) for item in context.answers), context.answers
-    lines = [line for line in context.gateway.log().splitlines() if "event=request_done" in line]
-    took_ms = [
-        int(line.partition("took_ms=")[2].split()[0]) for line in lines if 'outcome="503' in line
-    ]
+    took_ms = read_times(context, 'outcome="503')
     assert len(took_ms) == len(refused) and max(took_ms, default=0) < AT_ONCE_S * 1000, took_ms
+
+
+@then("each has an answer of {status:d} within its target of {seconds:g} s")
+def step_in_time(context, status, seconds):
+    """Check the answers, and the times that the gateway has logged."""
+    statuses = [item.status for item in context.answers]
+    assert statuses == [status] * len(context.answers), statuses
+    took_ms = read_times(context)
+    assert max(took_ms) < seconds * 1000, took_ms
--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -12,6 +12,7 @@
 NO_CONTENT = 204
 # Time from the copy to the answer that is due.
 ANSWER_DELAY_S = 0.02
+DRIP, DRIP_GAP_S = b"1\r\nx\r\n", 0.05
 # Time between two looks whether a connection has ended.
 LOOK_S = 0.005
 
@@ -52,6 +53,7 @@
         answer=None,
         copy=None,
         run_s=ANSWER_DELAY_S,
+        drips=False,
     ):
         """Prepare the engine.
 
@@ -64,6 +66,7 @@
           refuses: Whether a request that gets it does not run.
           answer: The answer of the others.
           copy: What is written in place of the copied answer; None to write it as it was.
+          drips: Whether a copy ends in chunks that come slowly, and without end.
           run_s: How long a run goes on after the copy, unless its connection ends, in seconds.
         """
         self.arrived, self.runs, self.met = [], [], []
@@ -71,6 +74,7 @@
         self._first = first
         self.ran_s = []
         self._run_s = run_s
+        self._drips = drips
         self._copies = copies
         self._by_id = by_id
         self._refuses = refuses
@@ -126,6 +130,9 @@
         if due:
             self.met.append(request_id)
             writer.write(due * self._copies)
+            while self._drips and not writer.transport.is_closing():
+                writer.write(DRIP)
+                await asyncio.sleep(DRIP_GAP_S)
             await self._work(reader)
         writer.write(self._answer.replace(b"{id}", request_id))
         await writer.drain()
