--- a/berylrock/ops/answers.py
+++ b/berylrock/ops/answers.py
@@ -10,6 +10,7 @@
 
 import collections
 import enum
+import hashlib
 from typing import NamedTuple
 
 __all__ = ["Claim", "ConnectionHistory", "Meaning", "Verdict"]
@@ -24,6 +25,7 @@
 BODILESS_STATUSES = frozenset((204, 304))
 # Latest requests of a connection whose answers may still be copied.
 MAX_REMEMBERED = 64
+DIGEST_BYTES = 16
 
 
 class Claim(NamedTuple):
@@ -65,15 +67,19 @@
     doubt: str = ""
 
 
+def _digest(request_id: str) -> bytes:
+    return hashlib.blake2b(request_id.encode(), digest_size=DIGEST_BYTES).digest()
+
+
 class _Sent(NamedTuple):
     """A request that was written to the connection.
 
     Attributes:
-      id: Its id.
+      digest: Digest of its id, which may be long.
       has_no_body: Whether responses to it have no body whatever their heads say, as to HEAD.
     """
 
-    id: str
+    digest: bytes
     has_no_body: bool
 
 
@@ -93,12 +99,13 @@
         """Record that a request is about to be written to the connection."""
         if self._current is not None:
             self._earlier.append(self._current)
-        self._current = _Sent(request_id, method == "HEAD")
+        self._current = _Sent(_digest(request_id), method == "HEAD")
 
     def has_carried(self, request_id: str) -> bool:
         """Tell whether a request with this id was written here, so that its answers may return."""
-        is_current = self._current is not None and self._current.id == request_id
-        return is_current or any(item.id == request_id for item in self._earlier)
+        digest = _digest(request_id)
+        is_current = self._current is not None and self._current.digest == digest
+        return is_current or any(item.digest == digest for item in self._earlier)
 
     def judge(self, claim: Claim) -> Verdict:
         """Decide what a response proves about the current request.
@@ -115,9 +122,10 @@
         if not claim.names:
             kind = "refusal" if claim.not_run else "response"
             return Verdict(Meaning.UNRELATED, f"{kind} that names no request")
-        if claim.names != current.id:
-            return self._judge_other(claim, current)
-        if any(item.id == current.id for item in self._earlier):
+        named = _digest(claim.names)
+        if named != current.digest:
+            return self._judge_other(claim, named, current)
+        if any(item.digest == named for item in self._earlier):
             return Verdict(
                 Meaning.UNRELATED, "response that an earlier request with its id may get"
             )
@@ -127,11 +135,11 @@
             return Verdict(Meaning.UNRELATED, "refusal whose status contradicts it")
         return Verdict(Meaning.REFUSAL)
 
-    def _judge_other(self, claim: Claim, current: _Sent) -> Verdict:
+    def _judge_other(self, claim: Claim, named: bytes, current: _Sent) -> Verdict:
         """Decide about a response that names another request than the current one."""
         ends = claim.framed or current.has_no_body or claim.status in BODILESS_STATUSES
         for item in self._earlier:
-            if item.id == claim.names and item.has_no_body == current.has_no_body and ends:
+            if item.digest == named and item.has_no_body == current.has_no_body and ends:
                 return Verdict(Meaning.EARLIER)
         return Verdict(Meaning.UNRELATED, "response to another request")
 
--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -9,3 +9,7 @@
   # Guards against a copy that is taken for an answer because its request is long past (TWICE).
   Scenario: A connection knows the last 64 requests that it has carried
     Then a copy for one of these is passed over, and one for an older request proves nothing
+
+  # Guards against callers whose long ids fill a gateway's memory.
+  Scenario: Connections remember the longest ids in little memory
+    Then the history of a connection takes at most 16 KB after 1000 requests with ids of 14 KB
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -1,6 +1,7 @@
 """Steps on what answers on connections to engines prove, without a network."""
 
 import collections
+import tracemalloc
 
 import hypothesis
 from behave import then
@@ -11,6 +12,7 @@
 PLAYS = 600
 # Requests of a connection whose answers may be copied, by docs/design/answers.md.
 REMEMBERED = 64
+KB = 1024
 
 
 @then("no play of sends, refusals, runs, copies, pauses and repeats breaks a promise")
@@ -50,3 +52,20 @@
     ]
     unknown = [answers.Meaning.UNRELATED] * REMEMBERED
     assert meanings == unknown + [answers.Meaning.EARLIER] * REMEMBERED, meanings
+
+
+@then(
+    "the history of a connection takes at most {limit:d} KB after {count:d} requests with ids of"
+    " {size:d} KB"
+)
+def step_memory(context, limit, count, size):
+    """Measure what the history keeps."""
+    tracemalloc.start()
+    try:
+        history = answers.ConnectionHistory()
+        for number in range(count):
+            history.begin(f"{number:x}".rjust(size * KB, "0"), "POST")
+        taken, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert taken <= limit * KB, taken
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -23,7 +23,7 @@
     Mutant(
         "plays-own-copy",
         "ops/answers.py",
-        "        if any(item.id == current.id for item in self._earlier):\n",
+        "        if any(item.digest == named for item in self._earlier):\n",
         "        if False:\n",
         PLAYS,
         (Edit("daemons/gateway/pool.py", HAS_CARRIED, "            if False:\n"),),
@@ -44,15 +44,15 @@
         (
             Edit(
                 "ops/answers.py",
-                "        if claim.names != current.id:\n",
-                "        if claim.names and claim.names != current.id:\n",
+                "        if named != current.digest:\n",
+                "        if claim.names and named != current.digest:\n",
             ),
         ),
     ),
     Mutant(
         "plays-names-another",
         "ops/answers.py",
-        "        if claim.names != current.id:\n",
+        "        if named != current.digest:\n",
         "        if False:\n",
         PLAYS,
     ),
@@ -72,14 +72,14 @@
     ),
     Mutant(
         "copies-endless",
-        "daemons/gateway/attempt.py",
+        "daemons/gateway/dueresponse.py",
         "MAX_PASSED_OVER = 4\n",
         "MAX_PASSED_OVER = 1_000_000\n",
         "after ten copies of a refusal fails, and runs once",
     ),
     Mutant(
         "copies-long",
-        "daemons/gateway/attempt.py",
+        "daemons/gateway/dueresponse.py",
         "MAX_PASSED_OVER_BYTES = 65_536\n",
         "MAX_PASSED_OVER_BYTES = 65_536_000\n",
         "after a long copy of an answer fails, and runs once",
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -175,7 +175,7 @@
         "        if not claim.names:\n",
         "        if False:\n",
         "A request whose engine writes an earlier refusal once more",
-        (Edit("ops/answers.py", "        if claim.names != current.id:\n", "        if False:\n"),),
+        (Edit("ops/answers.py", "        if named != current.digest:\n", "        if False:\n"),),
     ),
     Mutant(
         "refusal-status",
