--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -1,7 +1,7 @@
 """HTTP clients for model engines and plain services, based on aiohttp.
 
-Every request opens a new connection to the backend server next to the sidecar. Therefore an error
-while connecting proves that nothing was passed on, and aiohttp never retries a request itself.
+Every request opens a new connection to the backend server next to the sidecar, and is sent once.
+Therefore an error while connecting proves that nothing was passed on.
 """
 
 import asyncio
@@ -77,11 +77,31 @@
     return sock
 
 
+async def _send_once(
+    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Send a request; raises ``BackendLost`` for a broken connection.
+
+    Scenario: a server runs a PUT call and closes its connection. By itself, aiohttp sends requests
+    of such methods once more after an error of its own kinds.
+    """
+    try:
+        return await handler(req)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise _lost_error(exc) from exc
+
+
 def _open_session() -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(force_close=True, limit=0, socket_factory=_make_socket)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
     return aiohttp.ClientSession(
-        connector=connector, timeout=timeout, auto_decompress=False, read_bufsize=16384
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=False,
+        read_bufsize=16384,
+        middlewares=(_send_once,),
     )
 
 
--- /dev/null
+++ b/features/process_claims.feature
@@ -0,0 +1,24 @@
+Feature: What an entry process and a sidecar take for an answer, and for "did not run"
+  Their clients run here without processes. A server, a proxy before it or the platform answers late,
+  twice, or not at all.
+
+  # Guards against a client library that sends a call a second time by itself (TWICE).
+  @promise.at_most_once
+  Scenario Outline: A <method> call whose connection <breaks> is passed on once
+    Given a plain server whose connections <break> after each call has arrived
+    When a sidecar passes a <method> call on that may run once
+    Then the call has arrived once, and its outcome is unknown
+
+    Examples:
+      | method | breaks   | break     |
+      | PUT    | closes   | close     |
+      | DELETE | closes   | close     |
+      | GET    | closes   | close     |
+      | PUT    | is reset | are reset |
+
+  # Guards against "not run" for a call whose second sending by the library found nobody there (REFUSED).
+  @promise.not_run @promise.at_most_once
+  Scenario: A PUT call whose server stops listening after it has arrived is not said not to have run
+    Given a plain server that stops listening and closes once a call has arrived
+    When a sidecar passes a PUT call on that may run once
+    Then the call has arrived once, and its outcome is unknown
--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -199,4 +199,11 @@
         "        if True or is_wanted():\n",
         "that wait for a server leave with their callers",
     ),
+    Mutant(
+        "sent-once",
+        "adapters/backend.py",
+        "        middlewares=(_send_once,),\n",
+        "",
+        "A PUT call whose connection closes is passed on once",
+    ),
 )
--- a/features/support/sidecars.py
+++ b/features/support/sidecars.py
@@ -21,6 +21,9 @@
         self.server = server
         self.warmup = types.SimpleNamespace(pool=types.SimpleNamespace(kind=kind))
 
+    async def poll(self):
+        """Learn nothing new."""
+
     async def has_crashed(self, incarnation):
         """Tell that it has not."""
         return False
