--- a/berylrock/platform/calls.py
+++ b/berylrock/platform/calls.py
@@ -44,6 +44,13 @@
     body: bytes
 
 
+class _Idle(NamedTuple):
+    """A connection without a call, and the address to which it was opened."""
+
+    conn: http1.EngineConnection
+    address: tuple[str, int]
+
+
 class PlatformClient:
     """Client of one service.
 
@@ -55,7 +62,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.calls = 0
-        self._idle: list[http1.EngineConnection] = []
+        self._idle: list[_Idle] = []
         self._buffers = buffering.BufferBudget(BUFFER_BYTES)
 
     async def make(self, call: Call, limit_s: float) -> Answer:
@@ -86,15 +93,16 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        for conn in self._idle:
-            conn.close()
+        for item in self._idle:
+            item.conn.close()
         self._idle.clear()
 
     async def _attempt(self, call: Call) -> Answer:
-        conn = await self._acquire()
+        address = self.address
+        conn = await self._acquire(address)
         reusable = False
         try:
-            headers = [(b"host", f"{self.address[0]}:{self.address[1]}".encode()), *call.headers]
+            headers = [(b"host", f"{address[0]}:{address[1]}".encode()), *call.headers]
             if call.body:
                 headers.append((b"content-type", b"application/json"))
             if call.method != "GET":
@@ -105,7 +113,7 @@
             return answer
         finally:
             if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
-                self._idle.append(conn)
+                self._idle.append(_Idle(conn, address))
             else:
                 conn.close()
 
@@ -120,11 +128,12 @@
         finally:
             body.release()
 
-    async def _acquire(self) -> http1.EngineConnection:
+    async def _acquire(self, address: tuple[str, int]) -> http1.EngineConnection:
+        """Return a connection to an address; those to a former address are closed."""
         now = asyncio.get_running_loop().time()
         while self._idle:
-            conn = self._idle.pop()
-            if conn.usable and now - conn.idle_since < IDLE_LIMIT_S:
+            conn, opened_to = self._idle.pop()
+            if opened_to == address and conn.usable and now - conn.idle_since < IDLE_LIMIT_S:
                 return conn
             conn.close()
-        return await http1.EngineConnection.open(self.address, CONNECT_TIMEOUT_S)
+        return await http1.EngineConnection.open(address, CONNECT_TIMEOUT_S)
--- a/features/gateway_claims.feature
+++ b/features/gateway_claims.feature
@@ -8,3 +8,10 @@
     Given a gateway whose counts go to another one that answers after 0.1 s
     When it sends its counts, counts 3 more requests and sends them before the answer
     Then the other gateway has got all its counts, and no send has failed
+
+  # Guards against answers of the store that a process had before its settings changed.
+  @promise.config
+  Scenario: No call goes to the store's former address
+    Given two stores, and a client with a kept connection to the first one
+    When the address of the second one is set, and an object is read
+    Then the second one has got the call
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -360,4 +360,11 @@
         "        await self._send_one(name)\n",
         "A gateway stops while its counts wait for an answer",
     ),
+    Mutant(
+        "former-address",
+        "platform/calls.py",
+        "            if opened_to == address and conn.usable",
+        "            if conn.usable",
+        "No call goes to the store's former address",
+    ),
 )
