--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -8,6 +8,7 @@
     Given a gateway and a process that is known under two ids, refuses each order once with <status>, and copies that
     When 12 orders are sent, each after the answer to the one before
     Then no order begins at two engines, and each has an answer of 200
+    And no order came to the process twice
 
     Examples:
       | status |
@@ -70,3 +71,56 @@
       | ten copies of a refusal         |
       | a long copy of an answer        |
       | a copy without a length         |
+
+  # Guards against copies that are relayed in a stream, or for which it runs twice (LOST, TWICE).
+  @promise.answer
+  Scenario Outline: A stream whose head comes after <copies> is relayed whole
+    Given a gateway and a model engine that writes <copies> before a stream
+    When 12 streams are asked for, each after the end of the one before
+    Then no stream begins at two engines, and each is whole, in order and its own
+    And at least 2 of them met a copy
+
+    Examples:
+      | copies                          |
+      | a copy of a refusal             |
+      | a copy of an earlier stream     |
+      | two copies of an earlier stream |
+
+  # Guards against the copy of a read's refusal that is believed while the read runs (TWICE).
+  Scenario Outline: A read that comes again to <engine> runs there alone
+    Given a gateway and <engine>
+    When 8 reads are sent, each after the answer to the one before
+    Then each read has an answer of 200, and runs at one engine alone
+
+    Examples:
+      | engine                                                                              |
+      | a process that is known under two ids, refuses each read once, and copies that      |
+      | an engine that refuses each read once for a pause, and copies that                  |
+
+  # Guards against a run that goes on, unseen, at an engine whose copy was the last sign of it (TWICE).
+  Scenario: A read whose engine writes a copy and no answer goes on elsewhere once it is given up
+    Given a gateway and an engine that writes a copy before each second answer, and none for long
+    When 8 reads are sent, each after the answer to the one before
+    Then each read has an answer of 200, and its first engine has learned that it goes on elsewhere
+    And at least 1 of them met a copy
+
+  # Guards against a late copy that is taken for the answer to the next request (LOST, TWICE).
+  @promise.answer
+  Scenario Outline: A copy of an answer that comes <when> harms nobody
+    Given a gateway and a plain engine that copies its answers <when>
+    When 12 orders are sent, each after the answer to the one before
+    Then no order begins at two engines, and each has an answer of 200
+    And at least 2 of them met a copy
+
+    Examples:
+      | when                         |
+      | together with it             |
+      | later on the idle connection |
+
+  # Guards against news in the copy of an earlier answer, which is old (LOST).
+  Scenario: What the copy of an earlier answer says of its engine is no news
+    Given a gateway and a plain engine that writes a copy that asks for a pause and says that it leaves before an answer
+    When 12 orders are sent, each after the answer to the one before
+    Then no order begins at two engines, and each has an answer of 200
+    And the gateway does not take the engine to leave or to want a pause
+    And at least 2 of them met a copy
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -26,6 +26,7 @@
         suppress_health_check=list(hypothesis.HealthCheck),
     )
     @hypothesis.given(answer_data.plays())
+    @hypothesis.example(answer_data.make_proxy_play())
     def check(drawn):
         play = answersim.Play(*drawn)
         play.run()
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -31,6 +31,10 @@
         "drips": True,
     },
     "ten copies of a refusal": {"first": copyingengine.make_refusal(503), "copies": 10},
+    "a copy that asks for a pause and says that it leaves": {
+        "first": copyingengine.make_refusal(503),
+        "copy": copyingengine.make_refusal(503, b"Retry-After: 30\r\nServer-Leaving: 1\r\n"),
+    },
     "a long copy of an answer": {
         "first": copyingengine.make_success(body=b"x" * 100_000),
         "refuses": False,
@@ -41,20 +45,36 @@
     },
 }
 
+STREAMS = {
+    "a copy of a refusal": {"first": copyingengine.make_refusal(503)},
+    "a copy of an earlier stream": {"first": copyingengine.make_stream(), "refuses": False},
+    "two copies of an earlier stream": {
+        "first": copyingengine.make_stream(),
+        "refuses": False,
+        "copies": 2,
+    },
+}
+LATE_S = {"together with it": 0.0, "later on the idle connection": 0.03}
+CHAT_HEADERS = (("X-Berylrock-Model", "*"), ("X-Berylrock-Token-Usage", "100,20"))
+# Time that an engine takes for a read, in which a second run elsewhere would be one too many.
+READ_S = 0.3
+# Time after which a run that the gateway has given up must have ended.
+GIVEN_UP_S = 0.4
+
 
-def start(context, engine, ids):
+def start(context, engine, ids, service="plain"):
     """Start a gateway with a copying engine of the gateway's zone, and one in another zone."""
-    scenario.start_gateway(context, plain=0, models=1)
+    scenario.start_gateway(context, plain=int(service != "plain"), models=int(service == "plain"))
     running = context.gateway
-    context.copying = engine
+    context.copying, context.service = engine, service
     running.thread.run(engine.start())
     for engine_id in ids:
-        entry = fleet.make_entry("plain", f"127.0.0.1:{engine.port}")
+        entry = fleet.make_entry(service, f"127.0.0.1:{engine.port}")
         running.put("servers", engine_id, entry)
-    other = running.add_engine("plain-other", "plain", zone="giarre-d")
+    context.other = running.add_engine(f"{service}-other", service, zone="giarre-d")
     # As slow as the one that copies, which is otherwise taken for slow and gets less.
-    other.response_delay_s = copyingengine.ANSWER_DELAY_S
-    known = [f"engine={engine_id} what=added" for engine_id in (*ids, "plain-other")]
+    context.other.response_delay_s = copyingengine.ANSWER_DELAY_S
+    known = [f"engine={engine_id} what=added" for engine_id in (*ids, f"{service}-other")]
     running.wait(lambda: all(item in running.log() for item in known), "the engines are known")
 
 
@@ -64,7 +84,8 @@
 )
 def step_two_ids(context, status):
     """Start them; the process at the address takes itself for either engine."""
-    engine = copyingengine.CopyingEngine(copyingengine.make_refusal(status), by_id=True)
+    refusal = copyingengine.make_refusal(status)
+    engine = copyingengine.CopyingEngine(refusal, by_id=True, is_proxied=True)
     start(context, engine, ("plain-copy-1", "plain-copy-2"))
 
 
@@ -81,7 +102,9 @@
 def step_long_reads(context):
     """Start them."""
     refusal = copyingengine.make_refusal(503)
-    engine = copyingengine.CopyingEngine(refusal, by_id=True, run_s=LONG_RUN_S)
+    engine = copyingengine.CopyingEngine(
+        refusal, by_id=True, is_proxied=True, answer_delay_s=LONG_RUN_S
+    )
     start(context, engine, ("plain-copy-1", "plain-copy-2"))
 
 
@@ -96,15 +119,6 @@
     running.wait(lambda: "engine=plain-old what=added" in running.log(), "the entry is known")
 
 
-@when("{count:d} reads are sent, each after the answer to the one before")
-def step_reads(context, count):
-    """Send them with a pause between them."""
-    context.answers = []
-    for _ in range(count):
-        context.answers.append(context.gateway.send("GET", "/read/a"))
-        time.sleep(ORDER_PAUSE_S)
-
-
 @when("{count:d} orders are sent, each after the answer to the one before")
 def step_orders(context, count):
     """Send them with a pause between them."""
@@ -117,7 +131,7 @@
 def check_once(context):
     """Check that no order has begun twice."""
     began = [item.decode() for item in context.copying.runs]
-    began += [run.headers[ID_HEADER] for run in context.gateway.runs("plain")]
+    began += [run.headers[ID_HEADER] for run in context.other.runs]
     twice = sorted({item for item in began if began.count(item) > 1})
     assert not twice, f"{len(twice)} of {len(context.answers)} began twice: {twice}"
 
@@ -152,6 +166,13 @@
     assert all(statuses[item] == status for item in met), (met, statuses)
 
 
+@then("no order came to the process twice")
+def step_came_once(context):
+    """Check what arrived; a proxy may copy a refusal to any connection to its address."""
+    arrived = context.copying.arrived
+    assert arrived and len(set(arrived)) == len(arrived), arrived
+
+
 @then("at least {count:d} of them met a copy")
 def step_met(context, count):
     """Check that the scenario has shown what it is about."""
@@ -190,3 +211,107 @@
     assert statuses == [status] * len(context.answers), statuses
     took_ms = read_times(context)
     assert max(took_ms) < seconds * 1000, took_ms
+
+
+@given("a gateway and a model engine that writes {copies} before a stream")
+def step_copies_before_stream(context, copies):
+    """Start them."""
+    engine = copyingengine.CopyingEngine(answer=copyingengine.make_stream(), **STREAMS[copies])
+    start(context, engine, ("models-copy",), "models")
+
+
+@when("{count:d} streams are asked for, each after the end of the one before")
+def step_streams(context, count):
+    """Ask for them with a pause between them."""
+    context.answers = []
+    for _ in range(count):
+        context.answers.append(
+            context.gateway.send("POST", "/chat/a", headers=CHAT_HEADERS, body=b"prompt")
+        )
+        time.sleep(ORDER_PAUSE_S)
+
+
+@then("no stream begins at two engines, and each is whole, in order and its own")
+def step_whole_streams(context):
+    """Check the events; those of the copying engine name their request."""
+    check_once(context)
+    ids = [item.headers.get(ID_HEADER) for item in context.answers]
+    assert len(set(ids)) == len(ids) and None not in ids, ids
+    for item in context.answers:
+        assert item.status == 200 and item.whole, item
+        assert item.event_ids == list(range(1, copyingengine.EVENTS + 1)), item
+        own = item.headers[ID_HEADER]
+        if own.encode() in context.copying.runs:
+            assert item.body.count(own.encode()) == copyingengine.EVENTS, item
+
+
+@given("a gateway and a plain engine that copies its answers {when}")
+def step_late_copies(context, when):
+    """Start them; each connection's first answer is copied."""
+    engine = copyingengine.CopyingEngine(
+        copyingengine.make_success(), refuses=False, late_s=LATE_S[when]
+    )
+    start(context, engine, ("plain-copy",))
+
+
+@then("the gateway does not take the engine to leave or to want a pause")
+def step_no_news(context):
+    """Check the gateway's log."""
+    log = context.gateway.log()
+    assert "event=engine_paused" not in log and "event=engine_leaving" not in log, log
+
+
+@given(
+    "a gateway and a process that is known under two ids, refuses each read once, and copies that"
+)
+def step_two_ids_read(context):
+    """Start them; the process takes its time for a read."""
+    engine = copyingengine.CopyingEngine(
+        copyingengine.make_refusal(503), by_id=True, answer_delay_s=READ_S
+    )
+    start(context, engine, ("plain-copy-1", "plain-copy-2"))
+
+
+@given("a gateway and an engine that refuses each read once for a pause, and copies that")
+def step_pausing_reads(context):
+    """Start them; the other engine wants a longer pause."""
+    refusal = copyingengine.make_refusal(503, b"Retry-After: 0.3\r\n")
+    engine = copyingengine.CopyingEngine(refusal, by_id=True, answer_delay_s=READ_S)
+    start(context, engine, ("plain-copy",))
+    context.other.pause_s = 60.0
+
+
+@given("a gateway and an engine that writes a copy before each second answer, and none for long")
+def step_silent_reads(context):
+    """Start them; the engine is silent for longer than a read may take."""
+    engine = copyingengine.CopyingEngine(copyingengine.make_refusal(503), answer_delay_s=20.0)
+    start(context, engine, ("plain-copy",))
+
+
+@when("{count:d} reads are sent, each after the answer to the one before")
+def step_reads(context, count):
+    """Send them with a pause between them."""
+    context.answers = []
+    for _ in range(count):
+        context.answers.append(context.gateway.send())
+        time.sleep(ORDER_PAUSE_S)
+
+
+@then("each read has an answer of 200, and runs at one engine alone")
+def step_reads_once(context):
+    """Check the answers and the runs; none was given up, and some came again."""
+    check_answered(context, {200})
+    arrived = context.copying.arrived
+    assert len(arrived) >= len(set(arrived)) + 2, arrived
+    assert not context.copying.given_up, context.copying.given_up
+
+
+@then("each read has an answer of 200, and its first engine has learned that it goes on elsewhere")
+def step_given_up(context):
+    """Check that the silent engine's connections were closed about when the other one began."""
+    assert [item.status for item in context.answers] == [200] * len(context.answers)
+    began = {run.headers[ID_HEADER]: run.started_at for run in context.other.runs}
+    for item in context.copying.met:
+        closed_at = context.copying.given_up.get(item)
+        assert closed_at is not None, (item, "was not given up")
+        assert closed_at - began[item.decode()] < GIVEN_UP_S, (closed_at, began)
--- a/features/support/answer_data.py
+++ b/features/support/answer_data.py
@@ -6,25 +6,29 @@
 
 RUN_STATUSES, REFUSAL_STATUSES = (200, 200, 204, 500), (421, 429, 503)
 # Few fall silent, or few copies would meet an answer.
-KINDS = ("run", "run", "run", "refuse", "refuse", "silent", "break")
+KINDS = ("run",) * 6 + ("refuse",) * 4 + ("silent", "break")
 # Engine ids by the number of their address: one address with two ids, or one of each.
 SITES = ((0,), (0, 0), (0, 1), (0, 0, 1), (0, 0, 1, 1))
 SIZES = (0, 0, 0, 0, 10_000, 40_000)
+RARELY = st.sampled_from((False,) * 9 + (True,))
 SOMETIMES = st.sampled_from((False, False, False, False, True))
 
 
 @st.composite
 def copies(draw, most=2):
-    """Draw copies of earlier answers; few of them are more than a gateway can pass over."""
+    """Draw copies of earlier answers; a gateway can pass over most of them."""
     found = []
-    for _ in range(draw(st.sampled_from((0, 0, *range(1, most + 1))))):
-        copy = answerengine.Copy(
-            draw(st.sampled_from((0, 0, 1, 2))),
-            elsewhere=draw(SOMETIMES),
-            named=not draw(SOMETIMES),
-            framed=not draw(SOMETIMES),
-        )
-        found += [copy] * draw(st.sampled_from((1, 1, 2, 5)))
+    for _ in range(draw(st.integers(0, most))):
+        copy = answerengine.Copy(draw(st.sampled_from((0, 0, 1, 2))))
+        if draw(st.booleans()):
+            # One that may prove nothing, and may come without end.
+            copy = copy._replace(
+                elsewhere=draw(st.booleans()),
+                named=not draw(SOMETIMES),
+                framed=not draw(SOMETIMES),
+            )
+            found += [copy] * draw(st.sampled_from((0, 1, 4)))
+        found.append(copy)
     return tuple(found)
 
 
@@ -40,9 +44,10 @@
         size=draw(st.sampled_from(SIZES)),
         before=draw(copies()),
         delay_s=draw(st.sampled_from((0.0, 0.02))),
-        after=draw(copies(1)),
-        late=draw(copies(1)),
-        aside=draw(copies(1)),
+        # These mostly end the connection, on which no copy can come before an answer then.
+        after=draw(copies(1)) if draw(RARELY) else (),
+        late=draw(copies(1)) if draw(RARELY) else (),
+        aside=draw(copies(1)) if draw(RARELY) else (),
     )
 
 
@@ -52,7 +57,7 @@
     repeatable = draw(st.booleans())
     return answersim.Call(
         repeatable,
-        gap_s=draw(st.sampled_from((0.0, 0.05, 0.18, 0.18, 0.5))),
+        gap_s=draw(st.sampled_from((0.0, 0.05, 0.18, 0.18, 0.18, 0.5))),
         waits=draw(st.sampled_from((True, True, False))),
         same_id=draw(SOMETIMES),
         method=draw(st.sampled_from(("GET", "GET", "HEAD"))) if repeatable else "POST",
@@ -66,3 +71,11 @@
         st.lists(calls(), min_size=2, max_size=10),
         st.lists(moves(), min_size=1, max_size=16),
     )
+
+
+def make_proxy_play():
+    """Return a play in which a proxy copies an order's refusal to another of its connections."""
+    copied = answerengine.Move(before=(answerengine.Copy(0, elsewhere=True),), delay_s=0.02)
+    refused = answerengine.Move("refuse", 503)
+    orders = [answersim.Call(False, gap_s=0.18, waits=True)] * 6
+    return (0, 0, 1), orders, [refused, copied] * 6
--- a/features/support/answerengine.py
+++ b/features/support/answerengine.py
@@ -100,7 +100,7 @@
     def __init__(self, process):
         self.reader = asyncio.StreamReader()
         self.transport = self
-        self.closed = False
+        self.closed = self.ended = False
         self.carried = []
         self.answers = []
         self.current = None
@@ -125,12 +125,13 @@
 
     def feed(self, item):
         """Write an answer to the gateway."""
-        if not self.closed and not self.reader.at_eof():
+        if not self.closed and not self.ended:
             self.reader.feed_data(item.data)
             self.pending.append(item)
 
     def end(self):
         """Close the connection on the engine's behalf."""
+        self.ended = True
         if not self.closed:
             self.reader.feed_eof()
 
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -84,6 +84,42 @@
         "MAX_PASSED_OVER_BYTES = 65_536_000\n",
         "after a long copy of an answer fails, and runs once",
     ),
+    Mutant(
+        "copies-remembered",
+        "ops/answers.py",
+        "MAX_REMEMBERED = 64\n",
+        "MAX_REMEMBERED = 63\n",
+        "A connection knows the last 64 requests that it has carried",
+    ),
+    Mutant(
+        "old-news",
+        "daemons/gateway/attempt.py",
+        "            if verdict.meaning is not answers.Meaning.EARLIER:\n",
+        "            noticing.record(self._ctx, self.state, head)\n"
+        "            if verdict.meaning is not answers.Meaning.EARLIER:\n",
+        "says of its engine is no news",
+    ),
+    Mutant(
+        "copy-in-stream",
+        "ops/answers.py",
+        "                return Verdict(Meaning.EARLIER)\n",
+        "                break\n",
+        "A stream whose head comes after",
+    ),
+    Mutant(
+        "read-again",
+        "daemons/gateway/pool.py",
+        HAS_CARRIED,
+        "            if False:\n",
+        "A read that comes again to a process that is known under two ids",
+        (
+            Edit(
+                "ops/answers.py",
+                "        if any(item.id == current.id for item in self._earlier):\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
     Mutant(
         "copies-forgotten",
         "ops/answers.py",
--- a/features/support/answersim.py
+++ b/features/support/answersim.py
@@ -191,6 +191,8 @@
         return ctx
 
     async def _play(self):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, error: self.faults.append(f"error: {error}"))
         ctx, conns = self._make_context(), pool.ConnectionPool()
         tasks, request_id = [], ""
         for number, call in enumerate(self.calls):
