--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -1,7 +1,6 @@
 """Holds the state that the parts of a gateway share."""
 
 import asyncio
-import collections
 import math
 import random
 import time
@@ -102,7 +101,6 @@
       sessions: Version of each active session.
       strikes: Requests that were running on engines when those crashed.
       blame: Prompt parts that may crash engines.
-      sends: Number of requests sent to engines, by service.
       budgets: Retry budgets by service.
       buffers: Bytes of bodies that all requests together may hold.
       baselines: Usual response times of the stable version.
@@ -151,7 +149,6 @@
         self.sessions = sessionversions.SessionVersions()
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
-        self.sends: collections.Counter[str] = collections.Counter()
         self.budgets: dict[str, budget.WindowBudget] = {}
         self.buffers = buffering.BufferBudget(buffering.budget_bytes(cfg.memory_mb))
         self.baselines = baselines.LatencyBaselines()
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -144,7 +144,6 @@
             now=now,
             preferred=offer.preferred,
             limits=ctx.limit_shares(),
-            outdated_before=self._outdated_before(group),
             left=self._left,
         )
         return selection.choose(offer.states, criteria, ctx.rng, ctx.load_view)
@@ -269,7 +268,6 @@
         """
         self.attempts_sent += 1
         self.record_session()
-        self._record_choice(state)
         current = self._current = attempt.Attempt(
             *(self._ctx, self._conns, self._req, state, model),
             can_fail_over=lambda: self.can_fail_over(model),
@@ -313,16 +311,6 @@
         """Tell whether the request may be sent to the engine of this attempt again."""
         return not failure.arrived or routing.is_repeatable(self._req.route)
 
-    def _record_choice(self, state: enginestate.EngineState) -> None:
-        """Count a request of the service, and record that the engine gets it."""
-        sends, service = self._ctx.sends, self._req.service
-        sends[service] += 1
-        group = self._group_of(self.version)
-        state.record_choice(sends[service], self._outdated_before(group))
-
-    def _outdated_before(self, group: enginegroup.EngineGroup) -> int:
-        return selection.find_outdated(self._ctx.sends[self._req.service], len(group.states))
-
     def _record_run(self) -> None:
         """Count the request as one that has begun to run, once for all its attempts."""
         if not self._is_counted:
--- a/berylrock/ops/enginestate.py
+++ b/berylrock/ops/enginestate.py
@@ -48,8 +48,6 @@
       heard_at: Time at which data last arrived from the engine on any connection.
       broken: Requests whose connections broke recently.
       cold_until: Time until which the engine is treated as cold.
-      sent_number: Number of the last request sent to the engine, among those of this process for
-        its service; 0 before the first.
       lapsed_at: Time at which its record disappeared around an outage of the store; None if the
         record exists.
     """
@@ -64,7 +62,6 @@
         self.heard_at = 0.0
         self.broken: list[BrokenRequest] = []
         self.cold_until = 0.0
-        self.sent_number = 0
         self.lapsed_at: float | None = None
 
     def begin(self, work: float, now: float) -> None:
@@ -79,17 +76,6 @@
         self.send_window.record(now)
         self.notices.limit.take(now)
 
-    def record_choice(self, number: int, outdated_before: int) -> None:
-        """Record that a request was given to the engine.
-
-        Args:
-          number: Number of the request among those of this process for the engine's service.
-          outdated_before: Number up to which a last request is too long ago for its time to count.
-        """
-        if self.sent_number <= outdated_before:
-            self.health.replace_time()
-        self.sent_number = number
-
     def mark_cold(self, now: float, seconds: float = POSSIBLY_COLD_S) -> None:
         """Treat the engine as cold for at least ``seconds`` from now on."""
         self.cold_until = max(self.cold_until, now + seconds)
--- a/berylrock/ops/health.py
+++ b/berylrock/ops/health.py
@@ -25,7 +25,6 @@
         self._paused_until = 0.0
         self._pause_s = FIRST_PAUSE_S
         self.first_part_s = 0.0
-        self._is_outdated = False
 
     def failing_share(self) -> float:
         """Return the share of recent requests that failed; 0 while there are too few results."""
@@ -41,15 +40,10 @@
         """Record a response whose first part arrived after this many seconds."""
         self._results.append(True)
         self._pause_s = FIRST_PAUSE_S
-        if self.first_part_s == 0.0 or self._is_outdated:
+        if self.first_part_s == 0.0:
             self.first_part_s = seconds
-            self._is_outdated = False
         self.first_part_s += SMOOTHING_FACTOR * (seconds - self.first_part_s)
 
-    def replace_time(self) -> None:
-        """Let the next response replace the smoothed time, which is too old to count."""
-        self._is_outdated = True
-
     def record_failure(self, now: float) -> None:
         """Record a failed request; the engine is paused when too many of the recent ones failed."""
         self._results.append(False)
--- a/berylrock/ops/selection.py
+++ b/berylrock/ops/selection.py
@@ -36,9 +36,6 @@
 # An engine that takes more than this many times the typical time counts as slow. It costs
 # ``SLOW_PENALTY``, multiplied by the ratio of its time to the typical time.
 SLOW_ENGINE_RATIO = 2.0
-# A slow engine is tried again after this many times as many requests as there are engines, so that
-# it gets a tenth of what it would get otherwise, however many processes choose.
-SLOW_RETRY_ROUNDS = 10
 
 
 class Criteria(NamedTuple):
@@ -51,8 +48,6 @@
       shares: Limits on the requests that this gateway may send to an engine within a second.
       max_running: Maximum number of this gateway's requests that run on one engine.
       tried: Ids of the engines to which this request was sent before.
-      outdated_before: Number of a request of the service, as in ``EngineState.sent_number``. An
-        engine that has got none since then does not count as slow, whatever it was before.
       left: Addresses to which this request must not be sent again, whatever engine is there.
       now: Time in seconds on the event loop's clock.
       preferred: Ids of the engines that keep the prompt part, as in ``enginegroup``; empty to find
@@ -69,23 +64,9 @@
     now: float
     preferred: tuple[str, ...] = ()
     limits: enginelimits.LimitShares = enginelimits.UNSHARED
-    outdated_before: int = -1
     left: frozenset[tuple[str, int]] = frozenset()
 
 
-def find_outdated(sent: int, engines: int) -> int:
-    """Return the value of ``Criteria.outdated_before``.
-
-    Args:
-      sent: Number of requests that this process has sent to the service.
-      engines: Number of engines that may get them.
-
-    Returns:
-      The number of the last request that is too long ago for its time to count.
-    """
-    return sent - SLOW_RETRY_ROUNDS * engines
-
-
 def affinity_key(head: routing.RequestHead, model: str) -> str:
     """Return the affinity key of a request: the model and its last shared prompt part.
 
@@ -234,7 +215,6 @@
         total += criteria.work.shared
     if item.engine.zone != criteria.zone:
         total += OTHER_ZONE_PENALTY
-    is_known = item.sent_number > criteria.outdated_before
-    if is_known and typical_s > 0.0 and item.health.first_part_s > SLOW_ENGINE_RATIO * typical_s:
+    if typical_s > 0.0 and item.health.first_part_s > SLOW_ENGINE_RATIO * typical_s:
         total += (SLOW_PENALTY + prefill) * item.health.first_part_s / typical_s
     return total
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -89,25 +89,6 @@
     Given 6 engines of which 3 answer slowly
     Then nearly all requests go to the other engines
 
-  # Guards against an engine that counts as slow for good, as it gets no request that could show otherwise.
-  Scenario: The only answer of an engine was slow, while the others go on to answer
-    Given 4 engines of which one was 4 times as slow, once
-    Then it gets none of the next 40 requests, and its share of those after 60
-
-  # Guards against engines that stay slow and are tried more often the more gateways there are.
-  Scenario Outline: Half of <count> engines stay slow while <gateways> gateways send requests for long
-    Then of <count> engines at <gateways> gateways the slow half gets at most <share> of the requests
-
-    Examples: All engines are compared; at most a fifth of their half
-      | count | gateways | share |
-      | 4     | 3        | 0.1   |
-      | 4     | 30       | 0.1   |
-
-    Examples: Three engines are compared, and all of these are slow for one request in nine
-      | count | gateways | share |
-      | 24    | 3        | 0.25  |
-      | 24    | 30       | 0.25  |
-
   Scenario: All engines have failed recently
     Given 3 engines that are all paused
     Then one of them is still chosen
