--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -13,3 +13,7 @@
   # Guards against callers whose long ids fill a gateway's memory.
   Scenario: Connections remember the longest ids in little memory
     Then the history of a connection takes at most 16 KB after 1000 requests with ids of 14 KB
+
+  # Guards against the copy of an answer to HEAD whose missing body takes the next answer for itself (LOST).
+  Scenario: The copy of an answer to HEAD is passed over only where another one is due to HEAD
+    Then the copy of an answer with a body before one without, or the other way round, proves nothing
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -1,6 +1,7 @@
 """Steps on what answers on connections to engines prove, without a network."""
 
 import collections
+import itertools
 import tracemalloc
 
 import hypothesis
@@ -27,6 +28,7 @@
     )
     @hypothesis.given(answer_data.plays())
     @hypothesis.example(answer_data.make_proxy_play())
+    @hypothesis.example(answer_data.make_kept_play())
     def check(drawn):
         play = answersim.Play(*drawn)
         play.run()
@@ -70,3 +72,18 @@
     finally:
         tracemalloc.stop()
     assert taken <= limit * KB, taken
+
+
+@then(
+    "the copy of an answer with a body before one without, or the other way round, proves nothing"
+)
+def step_head(context):
+    """Judge a copy for each pair of methods."""
+    for first, second in itertools.product(("GET", "HEAD"), repeat=2):
+        history = answers.ConnectionHistory()
+        history.begin("a", first)
+        history.begin("b", second)
+        meaning = history.judge(answers.Claim(200, "a", False, True)).meaning
+        alike = first == second
+        expected = answers.Meaning.EARLIER if alike else answers.Meaning.UNRELATED
+        assert meaning == expected, (first, second, meaning)
--- a/features/support/answer_data.py
+++ b/features/support/answer_data.py
@@ -8,8 +8,9 @@
 # Few fall silent, or few copies would meet an answer.
 KINDS = ("run",) * 6 + ("refuse",) * 4 + ("silent", "break")
 # Engine ids by the number of their address: one address with two ids, or one of each.
-SITES = ((0,), (0, 0), (0, 1), (0, 0, 1), (0, 0, 1, 1))
+SITES = ((0,), (0,), (0, 0), (0, 1), (0, 0, 1), (0, 0, 1, 1))
 SIZES = (0, 0, 0, 0, 10_000, 40_000)
+OFTEN = st.sampled_from((False, False, True))
 RARELY = st.sampled_from((False,) * 9 + (True,))
 SOMETIMES = st.sampled_from((False, False, False, False, True))
 
@@ -42,9 +43,9 @@
         pauses=draw(st.booleans()),
         chunked=draw(st.booleans()),
         size=draw(st.sampled_from(SIZES)),
-        before=draw(copies()),
+        before=draw(copies()) if draw(OFTEN) else (),
         delay_s=draw(st.sampled_from((0.0, 0.02))),
-        # These mostly end the connection, on which no copy can come before an answer then.
+        # Copies end the connection; on one that has not carried much there is little to copy.
         after=draw(copies(1)) if draw(RARELY) else (),
         late=draw(copies(1)) if draw(RARELY) else (),
         aside=draw(copies(1)) if draw(RARELY) else (),
@@ -68,8 +69,8 @@
     """Draw engines, requests and moves."""
     return st.tuples(
         st.sampled_from(SITES),
-        st.lists(calls(), min_size=2, max_size=10),
-        st.lists(moves(), min_size=1, max_size=16),
+        st.lists(calls(), min_size=4, max_size=12),
+        st.lists(moves(), min_size=8, max_size=20),
     )
 
 
@@ -79,3 +80,10 @@
     refused = answerengine.Move("refuse", 503)
     orders = [answersim.Call(False, gap_s=0.18, waits=True)] * 6
     return (0, 0, 1), orders, [refused, copied] * 6
+
+
+def make_kept_play():
+    """Return a play in which all earlier answers of a kept connection are copied at once."""
+    copied = tuple(answerengine.Copy(back) for back in range(4))
+    orders = [answersim.Call(False, gap_s=0.18, waits=True)] * 5
+    return (0,), orders, [answerengine.Move()] * 4 + [answerengine.Move(before=copied)]
--- a/features/support/answerengine.py
+++ b/features/support/answerengine.py
@@ -95,12 +95,24 @@
 
 
 class Wire:
-    """The engine's end of a connection; it is the writer and the transport of the gateway's end."""
+    """The engine's end of a connection; it is the writer and the transport of the gateway's end.
+
+    Attributes:
+      reader: What the gateway reads from.
+      transport: The connection itself.
+      closed: Whether the gateway has closed it.
+      ended: Whether the engine has closed it.
+      copied: Whether copies were to be passed over on it.
+      carried: Id, caller and method of the earlier requests.
+      current: The same of the latest one; None before the first.
+      answers: Moves and requests of its answers.
+      pending: What was written since the last answer.
+    """
 
     def __init__(self, process):
         self.reader = asyncio.StreamReader()
         self.transport = self
-        self.closed = self.ended = False
+        self.closed = self.ended = self.copied = False
         self.carried = []
         self.answers = []
         self.current = None
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -120,6 +120,20 @@
             ),
         ),
     ),
+    Mutant(
+        "plays-reuse",
+        "daemons/gateway/pool.py",
+        "            or conn.history.passed_over\n",
+        "",
+        PLAYS,
+    ),
+    Mutant(
+        "copy-to-head",
+        "ops/answers.py",
+        " and item.has_no_body == current.has_no_body and ends",
+        " and ends",
+        "The copy of an answer to HEAD is passed over only",
+    ),
     Mutant(
         "copies-forgotten",
         "ops/answers.py",
--- a/features/support/answersim.py
+++ b/features/support/answersim.py
@@ -123,6 +123,8 @@
         self.unproved[request[1]] += 1
         if request[0] in [name for name, _, _ in wire.carried[-REMEMBERED:]]:
             self.faults.append(f"call {request[1]} came twice on one connection")
+        if wire.copied:
+            self.faults.append(f"call {request[1]} came on a connection with a copy before")
 
     def expect(self, wire, request, move, item):
         """Record that the answer that is about to be written must reach its caller, if it must."""
@@ -137,6 +139,7 @@
         if not (sound and few):
             return
         self.met += len(copies)
+        wire.copied = wire.copied or bool(copies)
         if move.kind == "refuse":
             self.unproved[request[1]] -= 1
         elif move.status < 500:
