--- a/berylrock/platform/store.py
+++ b/berylrock/platform/store.py
@@ -125,12 +125,21 @@
         if answer.era != stored.find_era(revision):
             raise HistoryGone(f"the store was restored while {kind} was watched; list again")
         found = storedobjects.decode_listing(answer.body, answer.era)
-        if found is None:
+        if found is None or not self._may_follow(found, revision):
             raise errors.StoreUnavailable(
                 f"invalid watch response for {kind}; retried automatically"
             )
         return found
 
+    @staticmethod
+    def _may_follow(found: stored.Listing, revision: int) -> bool:
+        """Tell whether changes may be those after a revision, and not a copy of earlier ones.
+
+        Scenario: an engine was removed and has come back under its id. The answer with its removal,
+        once more, would remove it again.
+        """
+        return found.revision > revision or not found.changes
+
     async def get(self, kind: str, name: str) -> stored.StoredObject | None:
         """Read one object; None if it does not exist."""
         try:
--- a/features/gateway_claims.feature
+++ b/features/gateway_claims.feature
@@ -16,6 +16,13 @@
     When the list of "config" is read, and then that of "servers"
     Then each has its own objects
 
+  # Guards against an engine that is removed again by the copy of an earlier change (LOST).
+  @failure.store_outage
+  Scenario: A copy of the answer to a watch is not taken for the next one
+    Given a store that writes each answer once more when the next call comes
+    When the changes of "servers" are watched twice
+    Then the second watch has no changes of the first one, or no answer
+
   # Guards against answers of the store that a process had before its settings changed.
   @promise.config
   Scenario: No call goes to the store's former address
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -367,4 +367,11 @@
         "            elif found is None:\n",
         "A copy of the list of one kind",
     ),
+    Mutant(
+        "watch-copy",
+        "platform/store.py",
+        "        if found is None or not self._may_follow(found, revision):\n",
+        "        if found is None:\n",
+        "A copy of the answer to a watch",
+    ),
 )
