--- a/berylrock/platform/provider.py
+++ b/berylrock/platform/provider.py
@@ -11,7 +11,11 @@
 
 
 class Provider:
-    """Makes calls for duties; each names the gateway that holds the duty, and its token."""
+    """Makes calls for duties; each names the gateway that holds the duty, and its token.
+
+    An answer names no call, and a report that is wrongly taken for accepted is lost. The calls are
+    few, so each has a connection of its own, on which nothing but its answer can come.
+    """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self._client = calls.PlatformClient(address)
@@ -39,6 +43,7 @@
             (names.DUTY_TOKEN, str(claim.token).encode()),
         )
         answer = await self._client.make(calls.Call("POST", target, body, headers), limit_s)
+        self._client.close()
         if answer.status == OK:
             return
         text = f"{answer.status} for POST {target}"
--- a/features/gateway_claims.feature
+++ b/features/gateway_claims.feature
@@ -29,3 +29,10 @@
     Given two stores, and a client with a kept connection to the first one
     When the address of the second one is set, and an object is read
     Then the second one has got the call
+
+  # Guards against a report of usage that is taken for accepted by the copy of an earlier one's answer.
+  @promise.billed @failure.lost_answer
+  Scenario: A copy of the answer to a report is not taken for the next one's answer
+    Given a service for reports that writes each answer once more when the next call comes, and then refuses it
+    When two windows are reported
+    Then the second report is not taken for accepted
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -374,4 +374,11 @@
         "        if found is None:\n",
         "A copy of the answer to a watch",
     ),
+    Mutant(
+        "report-copy",
+        "platform/provider.py",
+        "        self._client.close()\n        if answer.status",
+        "        if answer.status",
+        "A copy of the answer to a report",
+    ),
 )
