--- a/berylrock/daemons/entry/calls.py
+++ b/berylrock/daemons/entry/calls.py
@@ -274,8 +274,9 @@
           The stored answer.
 
         Raises:
-          NotRun: The other request was not run, its claim expired, or it had other content.
-          Unknown: The other request may have run, or its answer was not kept.
+          NotRun: The other request was not run, or it had other content.
+          Unknown: The other request may have run, or its answer was not kept. That holds too if its
+            claim is gone: only the platform can have lost it.
         """
         loop = asyncio.get_running_loop()
         while True:
@@ -297,7 +298,8 @@
             try:
                 claim = await self._ctx.claims.read(name)
             except errors.NotFound:
-                raise outcome.NotRun(503, "not_run", "its claim expired; send it again") from None
+                detail = "the claim on this key is gone; the call may have run; check it"
+                raise outcome.Unknown(502, "outcome_unknown", detail) from None
             except errors.StoreUnavailable:
                 continue
 
--- a/features/process_claims.feature
+++ b/features/process_claims.feature
@@ -22,3 +22,10 @@
     Given a plain server that stops listening and closes once a call has arrived
     When a sidecar passes a PUT call on that may run once
     Then the call has arrived once, and its outcome is unknown
+
+  # Guards against "not run" because the object API has lost the claim of a call that runs (REFUSED, TWICE).
+  @promise.not_run @failure.store_outage
+  Scenario: A call whose earlier request's claim vanishes is not said not to have run
+    Given an entry process, and another one that runs a call under the same key
+    When the claim is gone while the entry process waits for its outcome
+    Then the caller is told that the call may have run
--- a/features/steps/gateway_claim_steps.py
+++ b/features/steps/gateway_claim_steps.py
@@ -6,6 +6,7 @@
 import types
 
 from behave import given, then, when
+from support.platform import copyingserver
 from support.platform import store as standin
 
 from berylrock.core import duties, errors, metrics
@@ -15,51 +16,8 @@
 
 CFG = duties.DutySettings(("127.0.0.1", 1), True, 50.0, 3.0, 5.0, 10.0)
 KINDS = ("config", "servers")
-# Time from a copy to the answer that is due, and from a change to its watch's end, in seconds.
-ANSWER_DELAY_S, WAIT_S = 0.05, 0.3
-HEAD_END, LENGTH = b"\r\n\r\n", b"content-length: "
-
-
-class CopyingServer:
-    """Answers calls over HTTP, and writes each answer once more when the next call comes.
-
-    Attributes:
-      port: Port on which it listens; 0 before ``start``.
-    """
-
-    def __init__(self, handle):
-        """Prepare the server; ``handle`` returns status and JSON document for a method, target."""
-        self.port = 0
-        self._handle = handle
-        self._server = None
-
-    async def start(self):
-        """Start listening on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader, writer):
-        last = b""
-        try:
-            while True:
-                head = (await reader.readuntil(HEAD_END)).lower()
-                length = head.partition(LENGTH)[2].partition(b"\r\n")[0]
-                body = await reader.readexactly(int(length or 0))
-                writer.write(last)
-                await asyncio.sleep(ANSWER_DELAY_S if last else 0.0)
-                method, target = head.decode().split()[:2]
-                status, found = await self._handle(method.upper(), target, body)
-                data = json.dumps(found).encode()
-                last = b"HTTP/1.1 %d Any\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n" % (
-                    status,
-                    len(data),
-                )
-                last += data
-                writer.write(last)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.transport.abort()
+# Longest wait of a watch, in seconds.
+WAIT_S = 0.3
 
 
 class CountingReceiver:
@@ -117,7 +75,7 @@
         sender = usagelink.UsageSender(ctx, book)
         book.counter.record("one", time.time())
         first = asyncio.create_task(sender.send_all())
-        await asyncio.sleep(ANSWER_DELAY_S)
+        await asyncio.sleep(copyingserver.ANSWER_DELAY_S)
         for _ in range(count):
             book.counter.record("one", time.time())
         context.results = await asyncio.gather(sender.send_all(), first, return_exceptions=True)
@@ -150,7 +108,12 @@
     await context.store.start()
     for kind in KINDS:
         await context.store.put(kind, f"of-{kind}", {})
-    copying = CopyingServer(context.store._handle)
+
+    async def handle(method, target, headers, body):
+        status, found = await context.store._handle(method, target, body)
+        return status, {"Store-Era": 1}, json.dumps(found).encode()
+
+    copying = copyingserver.CopyingServer(handle)
     await copying.start()
     return store.Store(("127.0.0.1", copying.port))
 
@@ -238,11 +201,11 @@
     """Keep the service, which takes the first report alone."""
     context.windows = []
 
-    async def handle(method, target, body):
+    async def handle(method, target, headers, body):
         context.windows.append(json.loads(body)["window-id"])
-        return (200 if len(context.windows) == 1 else 429), {}
+        return (200 if len(context.windows) == 1 else 429), {}, b"{}"
 
-    context.service = CopyingServer(handle)
+    context.service = copyingserver.CopyingServer(handle)
 
 
 @when("two windows are reported")
@@ -260,7 +223,7 @@
                 context.outcomes.append("accepted")
             except errors.StoreUnavailable:
                 context.outcomes.append("unknown")
-        await asyncio.sleep(2 * ANSWER_DELAY_S)
+        await asyncio.sleep(2 * copyingserver.ANSWER_DELAY_S)
         client.close()
 
     asyncio.run(play())
--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -206,4 +206,11 @@
         "",
         "A PUT call whose connection closes is passed on once",
     ),
+    Mutant(
+        "claim-gone",
+        "daemons/entry/calls.py",
+        '                raise outcome.Unknown(502, "outcome_unknown", detail) from None\n',
+        '                raise outcome.NotRun(503, "not_run", detail) from None\n',
+        "A call whose earlier request's claim vanishes",
+    ),
 )
