--- a/berylrock/adapters/platform.py
+++ b/berylrock/adapters/platform.py
@@ -2,6 +2,10 @@
 
 The calls are few, so each one runs in a thread of a small pool. Watches, which wait for a long
 time, use a separate pool, so that they cannot delay other calls such as claims.
+
+Scenario: the platform, or a proxy before it, writes an answer once more when the next call has been
+sent, and a claim that another request holds counts as written. An answer names no call, so each
+call has a connection of its own, on which nothing but its answer can come.
 """
 
 import asyncio
@@ -115,6 +119,13 @@
     ConnectionCls = _Connection
 
 
+def _open_pool() -> urllib3.PoolManager:
+    """Return a pool for the connection of one call."""
+    pool = urllib3.PoolManager(maxsize=1, retries=False)
+    pool.pool_classes_by_scheme = {"http": _ConnectionPool, "https": urllib3.HTTPSConnectionPool}
+    return pool
+
+
 def _read_parts(resp: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield the bytes of a body as they arrive, unpacked."""
     while True:
@@ -131,11 +142,6 @@
     """
 
     def __init__(self, meter: metrics.Metrics) -> None:
-        self._pool = urllib3.PoolManager(maxsize=CALL_THREADS + WATCH_THREADS, retries=False)
-        self._pool.pool_classes_by_scheme = {
-            "http": _ConnectionPool,
-            "https": urllib3.HTTPSConnectionPool,
-        }
         self._buffers = buffering.BufferBudget(2 * MAX_ANSWER_BYTES)
         executor = concurrent.futures.ThreadPoolExecutor
         self._calls = executor(CALL_THREADS, thread_name_prefix="platform")
@@ -195,14 +201,15 @@
         call.begin()
         _current.call = call
         try:
-            resp = self._pool.request(method, url, preload_content=False, **options)
-            found = self._read(resp, call)
+            with _open_pool() as pool:
+                resp = pool.request(method, url, preload_content=False, **options)
+                found = self._read(resp, call)
         finally:
             call.use(None)
         return PlatformResponse(resp.status, resp.headers, found)
 
     def _read(self, resp: urllib3.BaseHTTPResponse, call: _Call) -> bytes:
-        """Read a body within the limits; its connection is kept only after a whole one."""
+        """Read a body within the limits."""
         body = buffering.Body(self._buffers, MAX_ANSWER_BYTES)
         try:
             found = bodies.read_blocking(body, _read_parts(resp), call.expires_at)
--- a/features/process_claims.feature
+++ b/features/process_claims.feature
@@ -29,3 +29,10 @@
     Given an entry process, and another one that runs a call under the same key
     When the claim is gone while the entry process waits for its outcome
     Then the caller is told that the call may have run
+
+  # Guards against a claim that two hold because of the copy of an earlier answer (TWICE).
+  @promise.at_most_once @failure.lost_answer
+  Scenario: A copy of an answer of the object API does not let a second request hold a claim
+    Given an object API that writes each answer once more when the next call comes, and a stored claim
+    When a request writes another claim, and then wants the stored one
+    Then it does not hold the stored one
--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -213,4 +213,18 @@
         '                raise outcome.NotRun(503, "not_run", detail) from None\n',
         "A call whose earlier request's claim vanishes",
     ),
+    Mutant(
+        "claim-copy",
+        "adapters/platform.py",
+        "            with _open_pool() as pool:\n",
+        "            for pool in [_kept]:\n",
+        "A copy of an answer of the object API",
+        (
+            Edit(
+                "adapters/platform.py",
+                "class _Client:\n",
+                "_kept = _open_pool()\n\n\nclass _Client:\n",
+            ),
+        ),
+    ),
 )
