--- a/berylrock/daemons/sidecar/entrylinks.py
+++ b/berylrock/daemons/sidecar/entrylinks.py
@@ -1,6 +1,7 @@
 """Serves the connections from entry processes, each in a task of its own."""
 
 import asyncio
+import math
 import secrets
 from collections.abc import Callable
 
@@ -55,8 +56,12 @@
         # Attempts that an entry process tried to reattach to before their Start arrived. Each was
         # refused as never started, so a Start that arrives late must not run it.
         self._never_started: dict[str, None] = {}
-        # Attempts that may have run and of which nothing is kept any more.
-        self._forgotten: dict[str, None] = {}
+        # Attempts that may have run and of which nothing is kept any more, and when they ended so.
+        self._forgotten: dict[str, float] = {}
+        # That time of the latest one which is no longer among them.
+        self._unknown_until = -math.inf
+        # When a connection of an entry process was last lost, by its name.
+        self._lost_at: dict[str, float] = {}
         self._handlers: dict[type, Callable[..., None]] = {
             message.Start: self._handle_start,
             message.Window: self._handle_window,
@@ -95,7 +100,7 @@
         name = self.links.pop(conn, "")
         conn.close()
         self._closed_bytes += conn.total_bytes
-        now = self._timer.now()
+        now = self._lost_at[name] = self._timer.now()
         for run in self._runner.runs.values():
             if run.link is conn:
                 run.detach(now)
@@ -189,7 +194,7 @@
         if run is not None:
             run.attach(conn, msg.offset)
             return
-        if msg.attempt in self._forgotten:
+        if msg.attempt in self._forgotten or self._may_have_forgotten(conn):
             detail = "run was cancelled while its entry process was away"
             conn.send(message.End(msg.attempt, msg.offset, message.Outcome.STALLED, detail=detail))
             return
@@ -199,6 +204,16 @@
             message.Refused(msg.attempt, reason, "attempt was never started", self._config.version)
         )
 
+    def _may_have_forgotten(self, conn: link.Link) -> bool:
+        """Tell whether a run may be unknown that was forgotten since its connection was lost.
+
+        Scenario: an entry process is suspended until thousands of other runs have ended here. What
+        it then asks for may have run, though this process does not remember it.
+        """
+        if self._unknown_until == -math.inf:
+            return False
+        return self._unknown_until >= self._lost_at.get(self.links[conn], math.inf)
+
     def _handle_cancel(self, _conn: link.Link, msg: message.Cancel) -> None:
         run = self._runner.runs.get(msg.attempt)
         if run is None:
@@ -211,7 +226,9 @@
 
     def _discard(self, run: runs.Run) -> None:
         if not isinstance(run.end, message.Refused):
-            _remember(self._forgotten, run.start.attempt)
+            self._forgotten[run.start.attempt] = self._timer.now()
+            if len(self._forgotten) > MAX_REMEMBERED:
+                self._unknown_until = self._forgotten.pop(next(iter(self._forgotten)))
         self._runner.runs.pop(run.start.attempt, None)
         run.discard()
 
--- a/features/process_claims.feature
+++ b/features/process_claims.feature
@@ -36,3 +36,11 @@
     Given an object API that writes each answer once more when the next call comes, and a stored claim
     When a request writes another claim, and then wants the stored one
     Then it does not hold the stored one
+
+  # Guards against "never started" for an attempt that the sidecar can no longer remember (TWICE).
+  @promise.not_run
+  Scenario: An attempt that ran too long ago to be remembered is not said never to have started
+    Given a sidecar that has run an attempt for an entry process whose connection was then lost
+    When 20001 more attempts have ended there, and the entry process asks for its attempt
+    Then the attempt is said to have ended without an answer
+    And an attempt of an entry process that has lost no connection since is said never to have started
--- a/features/support/mutantlist.py
+++ b/features/support/mutantlist.py
@@ -227,4 +227,11 @@
             ),
         ),
     ),
+    Mutant(
+        "forgotten-evicted",
+        "daemons/sidecar/entrylinks.py",
+        "in self._forgotten or self._may_have_forgotten(conn):\n",
+        "in self._forgotten:\n",
+        "An attempt that ran too long ago to be remembered",
+    ),
 )
