--- a/berylrock/daemons/gateway/reporting.py
+++ b/berylrock/daemons/gateway/reporting.py
@@ -107,8 +107,9 @@
             written = await store.replace(
                 names.DUTIES_KIND, names.USAGE_DUTY, spec, self._lease.revision
             )
-        if written is None:
-            raise errors.StoreUnavailable("unreadable answer to a write; read again")
+        # Each write changes the record, so one without a later revision has another call's answer.
+        if written is None or written.revision <= (self._lease.revision or 0):
+            raise errors.StoreUnavailable("unreadable or old answer to a write; read again")
         self._lease.record_written(record, written.revision, sent_at)
         self._log_fixed(record)
         if not self._was_held and self._lease.holds(freshness.boottime_clock()):
--- a/features/gateway_claims.feature
+++ b/features/gateway_claims.feature
@@ -36,3 +36,10 @@
     Given a service for reports that writes each answer once more when the next call comes, and then refuses it
     When two windows are reported
     Then the second report is not taken for accepted
+
+  # Guards against a holder of a duty that goes on after another one has taken it.
+  @failure.lost_answer @failure.lease_lapse
+  Scenario: A copy of the answer to a renewal does not renew a duty
+    Given a store that writes each answer once more when the next call comes
+    When a gateway renews the duty, another one takes it over, and the first one renews again
+    Then the first one holds the duty no longer than by its first renewal
--- a/features/steps/gateway_claim_steps.py
+++ b/features/steps/gateway_claim_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 import types
 
@@ -10,14 +11,16 @@
 from support.platform import store as standin
 
 from berylrock.core import duties, errors, metrics
-from berylrock.daemons.gateway import peermessages, usagelink
-from berylrock.ops import dutybook, usage
-from berylrock.platform import provider, store
+from berylrock.daemons.gateway import peermessages, reporting, usagelink
+from berylrock.ops import dutybook, freshness, usage
+from berylrock.platform import dutyobjects, names, provider, store
 
 CFG = duties.DutySettings(("127.0.0.1", 1), True, 50.0, 3.0, 5.0, 10.0)
 KINDS = ("config", "servers")
 # Longest wait of a watch, in seconds.
 WAIT_S = 0.3
+# Time between two renewals of a duty, in seconds.
+RENEWAL_PAUSE_S = 0.6
 
 
 class CountingReceiver:
@@ -234,3 +237,38 @@
     """Check both."""
     assert context.windows == [1, 2], context.windows
     assert context.outcomes == ["accepted", "unknown"], context.outcomes
+
+
+@when("a gateway renews the duty, another one takes it over, and the first one renews again")
+def step_renewals(context):
+    """Let the second renewal meet the copy of the answer to the first one."""
+
+    async def play():
+        client = await open_store(context)
+        ctx = make_gateway(0)
+        ctx.store, ctx.rng = client, random.Random(1)
+        own, other = duties.Holder("g1", 1), duties.Holder("g3", 3)
+        reporter = reporting.UsageReporter(ctx, dutybook.DutyBook(CFG, own))
+        path = names.DUTIES_KIND, names.USAGE_DUTY
+        record = duties.DutyRecord(own, (1 << 20) + 1, 0)
+        await context.store.put(*path, dutyobjects.encode_duty(record))
+        known = await client.get(*path)
+        client.close()
+        reporter._lease.record_written(record, known.revision, freshness.boottime_clock())
+        await reporter._hold()
+        await asyncio.sleep(RENEWAL_PAUSE_S)
+        taken = record._replace(holder=other, token=record.token + 1)
+        await context.store.put(*path, dutyobjects.encode_duty(taken))
+        await reporter._hold()
+        now = freshness.boottime_clock()
+        context.holds = [reporter._lease.holds(now, item) for item in (1.5, 2.2)]
+        reporter.close()
+        client.close()
+
+    asyncio.run(play())
+
+
+@then("the first one holds the duty no longer than by its first renewal")
+def step_not_renewed(context):
+    """Check its lease, of which 85 % count: 2.55 s from the first renewal."""
+    assert context.holds[1] is False, context.holds
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -381,4 +381,11 @@
         "        if answer.status",
         "A copy of the answer to a report",
     ),
+    Mutant(
+        "renewal-copy",
+        "daemons/gateway/reporting.py",
+        "        if written is None or written.revision <= (self._lease.revision or 0):\n",
+        "        if written is None:\n",
+        "A copy of the answer to a renewal",
+    ),
 )
