--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -75,17 +75,7 @@
         can_fail_over: Callable[[], bool],
         returns: bool = False,
     ) -> None:
-        """Prepare an attempt.
-
-        Args:
-          ctx: State of the gateway.
-          conns: Connections to engines.
-          req: The request.
-          state: State of the engine.
-          model: Model to ask for; empty to use the caller's.
-          can_fail_over: Tells whether another engine could take the request now.
-          returns: Whether the request may have arrived at the engine's address before.
-        """
+        """Prepare an attempt; ``returns``: whether it may have reached this address before."""
         self.state = state
         self.engine = state.engine
         self.model = model
@@ -261,9 +251,8 @@
 
     async def _validate(self, due: dueresponse.DueHead) -> "OpenedResponse | Failure":
         """Check that the response belongs to this request and comes from an engine that ran it."""
-        now = asyncio.get_running_loop().time()
         head, verdict = due
-        if not head.request_id or head.request_id == self._req.head.id:
+        if head.request_id in ("", self._req.head.id):
             noticing.record(self._ctx, self.state, head)
         if head.not_run:
             return await self._end_unrun(head, verdict.doubt)
@@ -273,7 +262,7 @@
             return self._fail(f"unsigned response {head.status}")
         self.state.begin_answer(self._work)
         self._work = 0.0
-        return OpenedResponse(self, head, now)
+        return OpenedResponse(self, head, asyncio.get_running_loop().time())
 
     async def _end_unrun(self, head: translating.ResponseHead, doubt: str) -> Failure:
         """End an attempt whose engine says that a request did not run."""
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -94,9 +94,12 @@
     Mutant(
         "old-news",
         "daemons/gateway/attempt.py",
-        "            if verdict.meaning is not answers.Meaning.EARLIER:\n",
-        "            noticing.record(self._ctx, self.state, head)\n"
-        "            if verdict.meaning is not answers.Meaning.EARLIER:\n",
+        "            return part\n",
+        "            if isinstance(part, h11.Response):\n"
+        "                raw = part.headers.raw_items()\n"
+        "                head = translating.read_response_head(part.status_code, raw)\n"
+        "                noticing.record(self._ctx, self.state, head)\n"
+        "            return part\n",
         "says of its engine is no news",
     ),
     Mutant(
@@ -115,7 +118,7 @@
         (
             Edit(
                 "ops/answers.py",
-                "        if any(item.id == current.id for item in self._earlier):\n",
+                "        if any(item.digest == named for item in self._earlier):\n",
                 "        if False:\n",
             ),
         ),
