--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from .rawengine import HEAD_BYTES, ID_HEADER
+from .rawengine import ID_HEADER, Listener
 
 LENGTH_HEADER = b"content-length: "
 NOT_RUN = b"X-Berylrock-Not-Executed: 1\r\n"
@@ -44,7 +44,7 @@
     return head + b"".join(chunks) + b"0\r\n\r\n"
 
 
-class CopyingEngine:
+class CopyingEngine(Listener):
     """Answers some requests with ``first``, and writes that again before the next answer.
 
     Attributes:
@@ -54,7 +54,6 @@
       met: Ids of the requests before whose answers it has written a copy.
       given_up: When the other side closed a connection on which a request ran, by its id, in
         seconds on the monotonic clock.
-      port: Port on which the engine listens; 0 before ``start``.
     """
 
     def __init__(
@@ -86,9 +85,9 @@
           late_s: Time from the copied answer to its copies, which then come whether another request
             is under way or not; None for those before the next answer.
         """
+        super().__init__()
         self.arrived, self.runs, self.met = [], [], []
         self.given_up = {}
-        self.port = 0
         self._first = first
         self.ran_s = []
         self._drips = drips
@@ -100,16 +99,6 @@
         self._answer = answer or make_success()
         self._answer_delay_s = answer_delay_s
         self._late_s = late_s
-        self._server = None
-
-    async def start(self):
-        """Start listening on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=HEAD_BYTES)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        """Stop listening, so that new connections are refused."""
-        self._server.close()
 
     async def _serve(self, reader, writer):
         due = b""
--- a/features/support/platform/rawengine.py
+++ b/features/support/platform/rawengine.py
@@ -27,27 +27,19 @@
     closes: bool = False
 
 
-class RawEngine:
-    """Reads the head of each request and answers with the script; each connection is used once.
+class Listener:
+    """Listens on a free port of the loopback interface.
 
     Attributes:
-      script: The answer.
-      requests: Number of requests so far.
-      closed: Number of connections that the other side has closed.
-      sent_bytes: Bytes that were repeated so far, over all connections.
-      port: Port on which the engine listens; 0 before ``start``.
+      port: The port; 0 before ``start``.
     """
 
-    def __init__(self, script):
-        self.script = script
-        self.requests = 0
-        self.closed = 0
-        self.sent_bytes = 0
+    def __init__(self):
         self.port = 0
         self._server = None
 
     async def start(self):
-        """Start listening on a free port."""
+        """Start listening."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=HEAD_BYTES)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -55,6 +47,28 @@
         """Stop listening, so that new connections are refused."""
         self._server.close()
 
+    async def _serve(self, reader, writer):
+        """Serve one connection until it ends."""
+        raise NotImplementedError
+
+
+class RawEngine(Listener):
+    """Reads the head of each request and answers with the script; each connection is used once.
+
+    Attributes:
+      script: The answer.
+      requests: Number of requests so far.
+      closed: Number of connections that the other side has closed.
+      sent_bytes: Bytes that were repeated so far, over all connections.
+    """
+
+    def __init__(self, script):
+        super().__init__()
+        self.script = script
+        self.requests = 0
+        self.closed = 0
+        self.sent_bytes = 0
+
     async def _serve(self, reader, writer):
         try:
             head = await reader.readuntil(b"\r\n\r\n")
