--- a/features/support/platform/rig.py
+++ b/features/support/platform/rig.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import atexit
+import collections
 import contextlib
 import itertools
 import math
@@ -45,6 +46,8 @@
 REQUESTS_PER_S = {"small": 25.0, "ferrante": 41.0, "taurex": 45.0, "grown": 70.0, "large": 120.0}
 # The habits that engines have in turn; most are as they should be.
 HABITS = ("", "hasty", "stubborn", "", "proxied", "stubborn", "deaf")
+# Each engine whose number is a multiple of this is known under two ids.
+ALIAS_EVERY = 5
 IDLE_TIMEOUT_MS = 1500
 LIMITS = {
     "max-header-bytes": 16384,
@@ -61,6 +64,7 @@
 
     Attributes:
       id: The engine's id.
+      ids: All ids under which it is known, each with an entry of its own.
       service: Name of its service.
       address: Where gateways reach it.
       link: The proxy before it; None if there is none.
@@ -70,6 +74,8 @@
     def __init__(self, root, engine_id, seed, link_thread=None, former=None):
         """Prepare an engine, at the address of a former one that has ended if one is given."""
         self.id = engine_id
+        self._alias = "" if seed % ALIAS_EVERY else f"{engine_id}-also"
+        self.ids = (engine_id, self._alias) if self._alias else (engine_id,)
         self.service = engine_id.partition("-")[0]
         self.log = root / f"{engine_id}.runs"
         self.popen = None
@@ -91,7 +97,7 @@
         """Start the process, also after an earlier one has ended."""
         command = [sys.executable, "-m", "support.platform.rigengine", self.id, self._own]
         command += [str(self.log), str(self._seed)]
-        command += ["--habit", self._habit]
+        command += ["--habit", self._habit, "--alias", self._alias]
         self._seed += 1000
         self.popen = subprocess.Popen(command, cwd=FEATURES)
 
@@ -169,10 +175,11 @@
         self.write_entry(item)
 
     def write_entry(self, item, state="ready"):
-        """Write an engine's entry, as one that has started now."""
+        """Write an engine's entry under each of its ids, as one that has started now."""
         born = int(time.monotonic() * 1000)
         entry = fleet.make_entry(item.service, item.address, state=state, born=born)
-        self._put("servers", item.id, entry)
+        for engine_id in item.ids:
+            self._put("servers", engine_id, entry)
 
     def start(self):
         """Start the gateways and wait until they are ready."""
@@ -320,13 +327,15 @@
         )
         done = sum(item.status == 200 and item.whole for item in attempts)
         counts = f"{len(attempts)} attempts, {done} answered, {len(runs)} runs"
-        faults = f"{len(disturbances)} faults, {len(breaches)} breaches"
+        kinds = collections.Counter(item.partition(":")[0] for item in breaches)
+        faults = f"{len(disturbances)} faults, {len(breaches)} breaches {dict(kinds) or ''}"
         print(f"seed {seed}, {args.size}: {counts}, {faults}")
         for item in breaches[:20]:
             print(f"  BREACH {item}")
         if breaches:
-            lines = "".join(f"{item}\n" for item in disturbances)
-            (root / "disturbances.txt").write_text(lines, encoding="utf-8")
+            for name, items in (("disturbances", disturbances), ("breaches", breaches)):
+                lines = "".join(f"{item}\n" for item in items)
+                (root / f"{name}.txt").write_text(lines, encoding="utf-8")
             print(f"  logs in {root}")
         failed += bool(breaches)
         sys.stdout.flush()
--- a/features/support/platform/rigengine.py
+++ b/features/support/platform/rigengine.py
@@ -1,7 +1,11 @@
 """Runs an engine as a process of its own that logs the begin and the end of each run.
 
-Run it as ``python -m support.platform.rigengine ID HOST:PORT LOG SEED [--habit HABIT]``. Each line
-of the log is a JSON object; times are of the monotonic clock, which all processes of a host share.
+Run it as ``python -m support.platform.rigengine ID HOST:PORT LOG SEED [--habit HABIT] [--alias
+ID]``. Each line of the log is a JSON object; times are of the monotonic clock, which all processes
+of a host share.
+
+An engine with an alias is known under two ids, and refuses many requests once: with 421 those for
+the alias, for which it does not take itself at first.
 
 An engine watches its connections, and drops a request whose connection ends. Its habit may differ:
 
@@ -20,16 +24,15 @@
 import random
 import time
 
+from . import rigcopies
+
 SLOTS, QUEUE = 6, 24
 WORK_S, FIRST_EVENT_S, EVENT_GAP_S, EVENTS = 0.09, 0.1, 0.04, 30
 STALL_S, PAUSE_S = 3.0, 0.4
-# Shares of the answers that are written a second time, at once or before the next answer. Half of
-# the copies of refusals have no id.
-COPIED_SHARE, COPIED_REFUSAL_SHARE = 0.03, 0.3
 # A process that wakes up later than this was kept from running, as one that is stopped.
 LATE_CHECK_S, LATE_S = 0.05, 0.15
-# Share of the new connections of a proxied engine on which a copy of a refusal comes first.
-STRAY_SHARE = 0.5
+# Share of the requests that an engine with an alias refuses once.
+REFUSED_ONCE_SHARE = 0.5
 # Longest and shortest idle time of a hasty engine's connections, which state more, and its limit.
 HASTY_IDLE_S, HASTY_MAX_CONNS, STATED_IDLE_S = (0.1, 1.0), 12, 5
 # Shares of the requests that meet a fault, added up.
@@ -50,8 +53,9 @@
         self._slots = asyncio.Semaphore(SLOTS if options.id.startswith("plain") else 48)
         self._held = 0
         self._runs = 0
+        self._refused = set()
+        self._copier = rigcopies.Copier(self._rng, options.habit == "proxied")
         self._copies = {}
-        self._strays = []
         self._open = 0
 
     @property
@@ -78,8 +82,7 @@
         try:
             if self._options.habit == "hasty" and self._open > HASTY_MAX_CONNS:
                 return
-            if self._strays and self._rng.random() < STRAY_SHARE:
-                self._copies[writer] = self._strays.pop()
+            self._copies[writer] = self._copier.open()
             while await self._serve_one(reader, writer):
                 pass
         except (OSError, EOFError, TimeoutError):
@@ -102,20 +105,35 @@
         pairs = [line.partition(":") for line in lines if line]
         headers = {name.lower(): value.strip() for name, _, value in pairs}
         await reader.readexactly(int(headers.get("content-length", 0)))
-        if headers.get(TARGET_HEADER, self._options.id) != self._options.id:
-            return await self._answer(writer, headers, 421, NOT_RUN)
-        draw = self._rng.random()
+        draw, copies = self._rng.random(), self._copies[writer]
+        status, more = self._find_refusal(headers, draw)
+        if not status:
+            self._copier.repeat_refusal(copies, headers[ID_HEADER])
+        await self._send(writer, copies.take("early"))
+        if status:
+            self._refused.add(headers[ID_HEADER])
+            return await self._answer(writer, headers, status, more)
+        return await self._run(reader, writer, target, headers, draw)
+
+    def _find_refusal(self, headers, draw):
+        """Return the status and further header lines of a refusal; 0 if the request is to run."""
+        named, alias = headers.get(TARGET_HEADER, self._options.id), self._options.alias
+        if named not in (self._options.id, alias):
+            return 421, NOT_RUN
+        if headers[ID_HEADER] in self._refused:
+            return 0, ""
+        if alias and self._rng.random() < REFUSED_ONCE_SHARE:
+            return 421 if named == alias else self._rng.choice((429, 503)), NOT_RUN
         if self._held >= SLOTS + QUEUE or CUT <= draw < FULL:
-            return await self._answer(writer, headers, 503, NOT_RUN)
+            return 503, NOT_RUN
         if FULL <= draw < PAUSING:
-            more = f"{NOT_RUN}Retry-After: {PAUSE_S}\r\n"
-            return await self._answer(writer, headers, 503, more)
-        return await self._run(reader, writer, target, headers, draw)
+            return 503, f"{NOT_RUN}Retry-After: {PAUSE_S}\r\n"
+        return 0, ""
 
     async def _run(self, reader, writer, target, headers, draw):
         self._held += 1
         self._runs += 1
-        run, how = self._runs, "broken"
+        run, how, keeps_open = self._runs, "broken", False
         watch = asyncio.create_task(reader.read(1)) if self._is_watching else None
         try:
             async with self._slots:
@@ -132,7 +150,8 @@
                 return keeps_open
         finally:
             self._held -= 1
-            self.write(what="end", run=run, how=how)
+            sound = keeps_open and self._copies[writer].is_fair
+            self.write(what="end", run=run, how=how, sound=sound)
             if watch is not None:
                 watch.cancel()
                 await asyncio.wait((watch,))
@@ -156,7 +175,8 @@
         head = self._make_head(headers, 200, self._signature())
         head += f"X-Berylrock-Hint-Confidence: {self._rng.randrange(101)}\r\n"
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        writer.write(head.encode())
+        copies = self._copies[writer]
+        writer.write(copies.take("together") + head.encode())
         first = int(headers.get(LAST_EVENT) or 0) + 1
         bad_event = self._rng.randrange(first, EVENTS + 2)
         for number in range(first, EVENTS + 1):
@@ -171,11 +191,12 @@
             await self._send(writer, f"{len(data):x}\r\n{data}\r\n".encode())
             await asyncio.sleep(EVENT_GAP_S)
         await self._send(writer, b"0\r\n\r\n")
+        await self._send(writer, copies.take("after"))
         return True
 
     async def _send(self, writer, data):
         """Write data and wait until it has left; a deaf engine does not learn if it cannot."""
-        if self._options.habit == "deaf" and writer.transport.is_closing():
+        if not data or self._options.habit == "deaf" and writer.transport.is_closing():
             return
         writer.write(data)
         try:
@@ -189,36 +210,19 @@
 
     @staticmethod
     def _make_head(headers, status, more):
-        lines = f"HTTP/1.1 {status} X\r\nX-Berylrock-Attempt-Id: {headers[ID_HEADER]}\r\n"
+        lines = f"HTTP/1.1 {status} X\r\n{rigcopies.ID_LINE.format(headers[ID_HEADER])}"
         return f"{lines}Keep-Alive: timeout={STATED_IDLE_S}\r\n{more}"
 
     async def _answer(self, writer, headers, status, more, body=""):
         head = self._make_head(headers, status, more)
         data = f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
-        await self._send(writer, self._copies.pop(writer, b"") + data)
-        if self._rng.random() < self._copied_share(more is NOT_RUN):
-            copy = data
-            if more is NOT_RUN and self._rng.random() < 0.5:
-                copy = data.replace(
-                    f"X-Berylrock-Attempt-Id: {headers[ID_HEADER]}\r\n".encode(), b""
-                )
-            await self._send_copy(writer, copy, more is NOT_RUN)
+        copies, is_refusal = self._copies[writer], NOT_RUN in more
+        await self._send(writer, copies.take("together") + data)
+        await self._send(writer, copies.take("after"))
+        self._copier.plan(copies, headers[ID_HEADER], data, is_refusal)
+        await self._send(writer, copies.take("at once"))
         return True
 
-    def _copied_share(self, is_refusal):
-        if is_refusal and self._options.habit == "proxied":
-            return 1.0
-        return COPIED_REFUSAL_SHARE if is_refusal else COPIED_SHARE
-
-    async def _send_copy(self, writer, copy, is_refusal):
-        """Write a copy at once, or keep it for later, on this connection or on a new one."""
-        if is_refusal and self._options.habit == "proxied":
-            self._strays.append(copy)
-        elif self._rng.random() < 0.5:
-            await self._send(writer, copy)
-        else:
-            self._copies[writer] = copy
-
 
 async def main(options):
     """Serve until the process is ended by a signal."""
@@ -238,6 +242,7 @@
     parser.add_argument("log")
     parser.add_argument("seed", type=int)
     parser.add_argument("--habit", choices=HABITS, default="")
+    parser.add_argument("--alias", default="", help="another id of the engine")
     return parser.parse_args()
 
 
--- a/features/support/platform/rigfaults.py
+++ b/features/support/platform/rigfaults.py
@@ -11,10 +11,13 @@
 RESTART_S, LEAVE_EXTRA_S = 1.0, 2.0
 # Time until an address is used again, and for which the entry of its former engine still stands.
 COOLDOWN_S, STALE_ENTRY_S, MIN_ENGINES = 2.0, 1.0, 1
+# Shortest and longest time for which the entry of a crashed engine stands beside its new one.
+OLD_ENTRY_S = (1.0, 6.0)
 STORE_MODES = ("down", "silent", "busy", "lossy")
 KINDS = (
     *("stop_engine", "stop_engine", "kill_engine", "replace_engine", "reset_engine"),
     *("slow_engine", "cut_engine", "silence_engine", "take_over", "flip_route"),
+    *("rename_engine", "rename_engine"),
     *("stop_gateway", "kill_gateway", "term_gateway", "cut_store", "store_mode"),
 )
 
@@ -68,6 +71,10 @@
             item.start()
             await rig.store.put("servers", item.id, self._entry(item, "ready"))
 
+    async def _remove_entries(self, item):
+        for engine_id in item.ids:
+            await self._rig.store.remove("servers", engine_id)
+
     def _entry(self, item, state):
         born = int(time.monotonic() * 1000)
         return fleet.make_entry(item.service, item.address, state=state, born=born)
@@ -82,9 +89,10 @@
         await asyncio.to_thread(rig.add_engine, item.service)
         await asyncio.sleep(RESTART_S)
         async with rig.disturb("engine_kill", f"{item.id} leaves"):
-            await rig.store.put("servers", item.id, self._entry(item, "draining"))
+            for engine_id in item.ids:
+                await rig.store.put("servers", engine_id, self._entry(item, "draining"))
             await asyncio.sleep(APPLY_MS / 1000.0 + LEAVE_EXTRA_S)
-            await rig.store.remove("servers", item.id)
+            await self._remove_entries(item)
         async with rig.disturb("engine_kill", item.id):
             await asyncio.to_thread(item.stop)
             del rig.engines[item.id]
@@ -103,7 +111,22 @@
             await asyncio.sleep(COOLDOWN_S)
             await asyncio.to_thread(rig.add_engine, other, item)
             await asyncio.sleep(STALE_ENTRY_S)
-            await rig.store.remove("servers", item.id)
+            await self._remove_entries(item)
+
+    async def rename_engine(self):
+        """Kill an engine, which starts again under a new id while its old entry stands."""
+        rig = self._rig
+        item = rig.pick(rig.engines)
+        if item is None:
+            return
+        async with rig.disturb("engine_kill", item.id):
+            rig.reserve(item.id)
+            await asyncio.to_thread(item.stop)
+            del rig.engines[item.id]
+            await asyncio.sleep(RESTART_S)
+            await asyncio.to_thread(rig.add_engine, item.service, item)
+        await asyncio.sleep(self._pause_s(*OLD_ENTRY_S))
+        await self._remove_entries(item)
 
     async def flip_route(self):
         """Forbid repeats of a route's requests, while a gateway is cut off from the store."""
