--- a/features/support/platform/rigchecks.py
+++ b/features/support/platform/rigchecks.py
@@ -1,9 +1,10 @@
 """Checks what the engines of the rig have logged against what its callers saw.
 
-Three promises are checked: what may run once runs once, also if its caller sends it again because a
+Four promises are checked: what may run once runs once, also if its caller sends it again because a
 kept connection was closed without an answer; a request does not go on at another engine while the
-one before still works on it; and a gateway does not close kept connections without an answer after
-it has passed their requests on.
+one before still works on it; a gateway does not close kept connections without an answer after it
+has passed their requests on; and an order does not fail whose engine has answered it, whatever
+copies of earlier answers came before.
 """
 
 import json
@@ -12,6 +13,7 @@
 
 RUN_ONCE = ("order", "talk")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+BAD_GATEWAY = 502
 # Requests that a gateway may cut on kept connections, after it has passed them on.
 MAX_CUT = 3
 # Longest time for which an engine may go on with a request after another one has begun it.
@@ -34,6 +36,8 @@
       ended_at: When it ended; infinite if the engine still runs it.
       how: How it ended: ``done``, ``cancelled`` or ``broken``; empty if it did not.
       deaf: Whether the engine does not learn of closed connections.
+      sound: Whether its answer was written, and whether each copy of another answer on its
+        connection names an earlier request of that connection.
     """
 
     engine: str
@@ -42,6 +46,7 @@
     ended_at: float
     how: str
     deaf: bool = False
+    sound: bool = False
 
 
 class Disturbance(NamedTuple):
@@ -82,7 +87,9 @@
             runs.append(run)
         elif item["run"] in begun:
             index = begun.pop(item["run"])
-            runs[index] = runs[index]._replace(ended_at=item["at"], how=item["how"])
+            runs[index] = runs[index]._replace(
+                ended_at=item["at"], how=item["how"], sound=item["sound"]
+            )
     return runs
 
 
@@ -109,6 +116,7 @@
             found.append(f"not run: {attempt} ran at {ran}")
     found += _find_repeats(attempts, by_attempt, disturbances)
     found += _find_cut(attempts, by_attempt, disturbances)
+    found += _find_lost(attempts, by_attempt, disturbances)
     gateways = {attempt.id: attempt.gateway for attempt in attempts}
     for name, groups in (("attempt", by_attempt), ("request", by_request)):
         for group in groups.values():
@@ -139,6 +147,32 @@
     return [f"cut: {group}" for group in cut.values() if len(group) > MAX_CUT]
 
 
+def _find_lost(attempts, by_attempt, disturbances):
+    """Return the orders that failed although their engines, undisturbed, have answered them."""
+    found = []
+    for attempt in attempts:
+        ran = by_attempt.get(attempt.id, [])
+        if attempt.kind != "order" or attempt.status != BAD_GATEWAY or len(ran) != 1:
+            continue
+        run = ran[0]
+        # A deaf engine does not learn that its answer could not be written.
+        if not run.sound or run.deaf or _was_disturbed(attempt, disturbances):
+            continue
+        if not _was_run_disturbed(run, disturbances):
+            found.append(f"lost: {attempt} was answered at {run}")
+    return found
+
+
+def _was_run_disturbed(run, disturbances):
+    """Tell whether something was done to a run's engine or its link, or to the whole machine."""
+    return any(
+        (item.name == run.engine and item.kind != "gateway" or item[:2] == STARVED)
+        and item.began_at <= run.ended_at
+        and item.ended_at >= run.began_at - CONTACT_S
+        for item in disturbances
+    )
+
+
 def _was_disturbed(attempt, disturbances):
     """Tell whether something was done to an attempt's gateway beside a planned stop."""
     return any(
