--- a/features/support/platform/rig.py
+++ b/features/support/platform/rig.py
@@ -112,6 +112,8 @@
     """The processes of one run.
 
     Attributes:
+      rng: Random numbers for what is done to them.
+      rename_rng: Those for restarts under new ids, which do not change the other faults of a seed.
       disturbances: What was done to them, as ``rigchecks.Disturbance``.
       config: The configuration in force.
     """
@@ -119,6 +121,7 @@
     def __init__(self, root, size, seed, launcher=("-m", "berylrock", "gateway"), code=None):
         self.root = pathlib.Path(root)
         self.rng = random.Random(seed)
+        self.rename_rng = random.Random(f"{seed} renames")
         self.thread = loop.LoopThread()
         self.store = store.StandInStore()
         self.thread.run(self.store.start())
@@ -214,10 +217,10 @@
                 late = rigchecks.Disturbance(*rigchecks.STARVED, began_at, now)
                 self.disturbances.append(late)
 
-    def pick(self, items, is_fit=lambda item: True):
+    def pick(self, items, is_fit=lambda item: True, rng=None):
         """Return a random one to which nothing is being done; None if there is none."""
         fit = [name for name in sorted(items) if name not in self._busy and is_fit(items[name])]
-        return items[self.rng.choice(fit)] if fit else None
+        return items[(rng or self.rng).choice(fit)] if fit else None
 
     def count(self, service):
         """Return the number of engines of a service that run, or start again soon."""
--- a/features/support/platform/rigengine.py
+++ b/features/support/platform/rigengine.py
@@ -50,11 +50,13 @@
         self._options = options
         self._log = os.open(options.log, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self._rng = random.Random(options.seed)
+        # Of its own, so that copies do not change which other faults a seed has.
+        self._copies_rng = random.Random(f"{options.seed} copies")
         self._slots = asyncio.Semaphore(SLOTS if options.id.startswith("plain") else 48)
         self._held = 0
         self._runs = 0
         self._refused = set()
-        self._copier = rigcopies.Copier(self._rng, options.habit == "proxied")
+        self._copier = rigcopies.Copier(self._copies_rng, options.habit == "proxied")
         self._copies = {}
         self._open = 0
 
@@ -105,8 +107,11 @@
         pairs = [line.partition(":") for line in lines if line]
         headers = {name.lower(): value.strip() for name, _, value in pairs}
         await reader.readexactly(int(headers.get("content-length", 0)))
-        draw, copies = self._rng.random(), self._copies[writer]
-        status, more = self._find_refusal(headers, draw)
+        copies = self._copies[writer]
+        status, more = self._find_refusal(headers)
+        draw = 1.0 if status else self._rng.random()
+        if not status and headers[ID_HEADER] not in self._refused:
+            status, more = self._find_fault(draw)
         if not status:
             self._copier.repeat_refusal(copies, headers[ID_HEADER])
         await self._send(writer, copies.take("early"))
@@ -115,15 +120,18 @@
             return await self._answer(writer, headers, status, more)
         return await self._run(reader, writer, target, headers, draw)
 
-    def _find_refusal(self, headers, draw):
-        """Return the status and further header lines of a refusal; 0 if the request is to run."""
+    def _find_refusal(self, headers):
+        """Return the status and further header lines of a refusal for its ids; 0 for none."""
         named, alias = headers.get(TARGET_HEADER, self._options.id), self._options.alias
         if named not in (self._options.id, alias):
             return 421, NOT_RUN
-        if headers[ID_HEADER] in self._refused:
-            return 0, ""
-        if alias and self._rng.random() < REFUSED_ONCE_SHARE:
-            return 421 if named == alias else self._rng.choice((429, 503)), NOT_RUN
+        is_first = headers[ID_HEADER] not in self._refused
+        if alias and is_first and self._copies_rng.random() < REFUSED_ONCE_SHARE:
+            return 421 if named == alias else self._copies_rng.choice((429, 503)), NOT_RUN
+        return 0, ""
+
+    def _find_fault(self, draw):
+        """Return the same of a refusal by an engine that is full, or wants a pause."""
         if self._held >= SLOTS + QUEUE or CUT <= draw < FULL:
             return 503, NOT_RUN
         if FULL <= draw < PAUSING:
--- a/features/support/platform/rigfaults.py
+++ b/features/support/platform/rigfaults.py
@@ -7,7 +7,7 @@
 from . import fleet, rigchecks
 
 GRACE_S, APPLY_MS = 8, 2000
-FAULTS_PER_S = 0.9
+FAULTS_PER_S, RENAMES_PER_S = 0.9, 0.15
 RESTART_S, LEAVE_EXTRA_S = 1.0, 2.0
 # Time until an address is used again, and for which the entry of its former engine still stands.
 COOLDOWN_S, STALE_ENTRY_S, MIN_ENGINES = 2.0, 1.0, 1
@@ -17,7 +17,6 @@
 KINDS = (
     *("stop_engine", "stop_engine", "kill_engine", "replace_engine", "reset_engine"),
     *("slow_engine", "cut_engine", "silence_engine", "take_over", "flip_route"),
-    *("rename_engine", "rename_engine"),
     *("stop_gateway", "kill_gateway", "term_gateway", "cut_store", "store_mode"),
 )
 
@@ -31,13 +30,19 @@
 
     async def run(self, seconds):
         """Inject faults, which may overlap, for a time; returns once all have ended."""
-        rng, until = self._rig.rng, time.monotonic() + seconds
+        await asyncio.gather(
+            self._inject(seconds, self._rig.rng, KINDS, FAULTS_PER_S),
+            self._inject(seconds, self._rig.rename_rng, ("rename_engine",), RENAMES_PER_S),
+        )
+        await asyncio.gather(*self._tasks)
+
+    async def _inject(self, seconds, rng, kinds, per_s):
+        until = time.monotonic() + seconds
         while time.monotonic() < until:
-            await asyncio.sleep(rng.expovariate(FAULTS_PER_S))
-            task = asyncio.create_task(getattr(self, rng.choice(KINDS))())
+            await asyncio.sleep(rng.expovariate(per_s))
+            task = asyncio.create_task(getattr(self, rng.choice(kinds))())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        await asyncio.gather(*self._tasks)
 
     def _pause_s(self, first=0.3, last=3.0):
         return self._rig.rng.uniform(first, last)
@@ -116,7 +121,7 @@
     async def rename_engine(self):
         """Kill an engine, which starts again under a new id while its old entry stands."""
         rig = self._rig
-        item = rig.pick(rig.engines)
+        item = rig.pick(rig.engines, rng=rig.rename_rng)
         if item is None:
             return
         async with rig.disturb("engine_kill", item.id):
@@ -125,7 +130,7 @@
             del rig.engines[item.id]
             await asyncio.sleep(RESTART_S)
             await asyncio.to_thread(rig.add_engine, item.service, item)
-        await asyncio.sleep(self._pause_s(*OLD_ENTRY_S))
+        await asyncio.sleep(rig.rename_rng.uniform(*OLD_ENTRY_S))
         await self._remove_entries(item)
 
     async def flip_route(self):
