--- a/features/gateway_rig.feature
+++ b/features/gateway_rig.feature
@@ -27,5 +27,6 @@
     Examples:
       | fault                 | seed | what                                            |
       | any refusal           | 3    | that requests ran twice or were falsely refused |
+      | copied refusal        | 1    | that requests ran twice or were falsely refused |
       | retry after a reset   | 2    | that requests ran twice or were falsely refused |
       | retry after a timeout | 1    | that requests ran twice or were falsely refused |
--- a/features/support/platform/faultygateway.py
+++ b/features/support/platform/faultygateway.py
@@ -7,7 +7,7 @@
 
 from berylrock.adapters import http1
 from berylrock.daemons.gateway import admitting, attempt, forwarding, process, responding
-from berylrock.ops import answers, timeouts
+from berylrock.ops import answers, selection, timeouts
 from berylrock.platform import translating
 
 # Engines for whose requests the errors are raised.
@@ -104,6 +104,31 @@
     translating.read_response_head = read_without_id
 
 
+def believe_copied_refusal():
+    """Use addresses and connections that refused a request again for it, and believe copies there.
+
+    The second answer that names the request and says that it did not run may be the first one's
+    copy.
+    """
+    history, choose = answers.ConnectionHistory, selection.choose
+    begin, judge = history.begin, history.judge
+
+    def begin_and_note(self, request_id, method):
+        self.due_id = request_id
+        begin(self, request_id, method)
+
+    def judge_by_id(self, claim):
+        is_of_due = claim.not_run and claim.names == self.due_id
+        return answers.Verdict(answers.Meaning.REFUSAL) if is_of_due else judge(self, claim)
+
+    def choose_any_address(states, criteria, *more):
+        return choose(states, criteria._replace(left=frozenset()), *more)
+
+    history.begin, history.judge = begin_and_note, judge_by_id
+    history.has_carried = lambda self, request_id: False
+    selection.choose = choose_any_address
+
+
 def _end_as_not_run(is_wanted):
     """Let failed attempts with some reasons count as not run."""
     fail = attempt.Attempt._fail
@@ -144,6 +169,7 @@
 PLACES = {
     "no close": leave_open,
     "any refusal": believe_any_refusal,
+    "copied refusal": believe_copied_refusal,
     "retry after a reset": retry_after_reset,
     "retry after a timeout": retry_after_timeout,
     "before the write": break_before_write,
