--- a/berylrock/daemons/gateway/forwarding.py
+++ b/berylrock/daemons/gateway/forwarding.py
@@ -93,7 +93,7 @@
             state = self.dispatcher.choose(model)
             if state is not None:
                 return state
-            if self.dispatcher.has_tried_all:
+            if not may_have_run and self.dispatcher.has_tried_all:
                 return None
             obstacle = self.dispatcher.find_obstacle()
             if obstacle is not None:
