--- a/features/steps/gateway_notice_decision_steps.py
+++ b/features/steps/gateway_notice_decision_steps.py
@@ -162,7 +162,7 @@
     state = make_states(1)[0]
 
     class SlowPool(pool.ConnectionPool):
-        async def acquire(self, engine, run_once, timeout_s=0.0):
+        async def acquire(self, engine, request_id, run_once, timeout_s=0.0):
             state.notices.leaving = True
             return object()
 
@@ -180,7 +180,7 @@
     """Start an attempt of a request with the parts of a gateway that it uses before it sends."""
     meter = types.SimpleNamespace(count=lambda name: None)
     ctx = types.SimpleNamespace(table=None, load_view=loadview.LoadView(), meter=meter)
-    head = types.SimpleNamespace(parts=(), prompt_tokens=0, model="")
+    head = types.SimpleNamespace(id="a", parts=(), prompt_tokens=0, model="")
     route = types.SimpleNamespace(kind="idempotent", resumable=False)
     req = types.SimpleNamespace(service=SERVICE, head=head, route=route)
     current = attempt.Attempt(ctx, conns, req, state, "", lambda: False)
