--- a/berylrock/daemons/sidecar/entrylinks.py
+++ b/berylrock/daemons/sidecar/entrylinks.py
@@ -60,8 +60,10 @@
         self._forgotten: dict[str, float] = {}
         # That time of the latest one which is no longer among them.
         self._unknown_until = -math.inf
-        # When a connection of an entry process was last lost, by its name.
+        # When the connection of an entry process was lost over which it last had asked for all its
+        # attempts, by its name; and the connections over which it has.
         self._lost_at: dict[str, float] = {}
+        self._settled: set[link.Link] = set()
         self._handlers: dict[type, Callable[..., None]] = {
             message.Start: self._handle_start,
             message.Window: self._handle_window,
@@ -100,7 +102,10 @@
         name = self.links.pop(conn, "")
         conn.close()
         self._closed_bytes += conn.total_bytes
-        now = self._lost_at[name] = self._timer.now()
+        now = self._timer.now()
+        if conn in self._settled or name not in self._lost_at:
+            self._lost_at[name] = now
+        self._settled.discard(conn)
         for run in self._runner.runs.values():
             if run.link is conn:
                 run.detach(now)
@@ -233,6 +238,8 @@
         run.discard()
 
     def _handle_heartbeat(self, conn: link.Link, msg: message.Heartbeat) -> None:
+        # An entry process asks for its attempts before its first heartbeat.
+        self._settled.add(conn)
         if msg.config_version > self._config.version:
             conn.send(message.Config(self._config.version, b""))
         elif msg.config_version < self._config.version:
--- a/features/process_claims.feature
+++ b/features/process_claims.feature
@@ -44,3 +44,10 @@
     When 20001 more attempts have ended there, and the entry process asks for its attempt
     Then the attempt is said to have ended without an answer
     And an attempt of an entry process that has lost no connection since is said never to have started
+
+  # Guards against "never started" after a second loss, before the attempt could be asked for (TWICE).
+  @promise.not_run
+  Scenario: An attempt is not said never to have started after two losses in a row
+    Given a sidecar that has run an attempt for an entry process whose connection was then lost
+    When 20001 more attempts have ended there, and the entry process asks after a second loss
+    Then the attempt is said to have ended without an answer
--- a/features/steps/process_claim_steps.py
+++ b/features/steps/process_claim_steps.py
@@ -188,9 +188,30 @@
 @when("{count:d} more attempts have ended there, and the entry process asks for its attempt")
 def step_many_ended(context, count):
     """Let them end within some time, then reattach."""
+    end_others(context, count)
+    reattach(context)
+
+
+@when("{count:d} more attempts have ended there, and the entry process asks after a second loss")
+def step_second_loss(context, count):
+    """Let them end, lose a connection on which nothing was asked, then reattach."""
+    end_others(context, count)
+    conn = context.connections["entry-1"]
+    context.links.links[conn] = "entry-1"
+    context.clock.at = 40.0
+    context.links._drop(conn)
+    reattach(context)
+
+
+def end_others(context, count):
+    """Let so many other runs end."""
     context.clock.at = 30.0
     for number in range(count):
         end_run(context, f"other-{number}")
+
+
+def reattach(context):
+    """Let the entry process connect again and ask for its attempt."""
     conn = context.connections["entry-1"]
     context.links.links[conn] = "entry-1"
     context.links._handle_attach(conn, message.Attach("first", 0))
