--- a/berylrock/daemons/gateway/attempt.py
+++ b/berylrock/daemons/gateway/attempt.py
@@ -202,10 +202,8 @@
         obstacle = self._find_obstacle(within_limit)
         if obstacle:
             return self._withdraw(obstacle)
-        left_s = req.expires_at - loop.time()
-        options = routing.DispatchOptions(
-            engine.id, max(MIN_DEADLINE_S, left_s), self.model, last_event
-        )
+        left_s = max(MIN_DEADLINE_S, req.expires_at - loop.time())
+        options = routing.DispatchOptions(engine.id, left_s, self.model, last_event)
         headers = translating.build_engine_headers(req, options)
         try:
             self.conn.history.begin(req.head.id, req.head.method)
@@ -213,6 +211,8 @@
             due = await self._read_head(wait)
         except (DeadlineExceeded, EngineTooSlow):
             return self._fail(TIMED_OUT)
+        except dueresponse.CopiesWithoutEnd as exc:
+            return self._fail(f"broken: {exc}")
         except http1.ResponseBroken as exc:
             self.record_broken()
             return self._fail(f"broken: {exc}")
--- a/berylrock/daemons/gateway/dueresponse.py
+++ b/berylrock/daemons/gateway/dueresponse.py
@@ -11,13 +11,17 @@
 from berylrock.ops import answers
 from berylrock.platform import translating
 
-__all__ = ["DueHead", "Exchange", "read_head"]
+__all__ = ["CopiesWithoutEnd", "DueHead", "Exchange", "read_head"]
 
 # Copies of earlier answers, and their bytes, that one attempt passes over.
 MAX_PASSED_OVER = 4
 MAX_PASSED_OVER_BYTES = 65_536
 
 
+class CopiesWithoutEnd(http1.ResponseBroken):
+    """The engine sends more copies of earlier answers than are passed over; it has not crashed."""
+
+
 class Exchange(NamedTuple):
     """A request that was written to a connection, and how to read on there.
 
@@ -52,7 +56,8 @@
       The head with its verdict.
 
     Raises:
-      ResponseBroken: The connection broke, or there are more copies than are passed over.
+      ResponseBroken: The connection broke.
+      CopiesWithoutEnd: There are more copies than are passed over.
     """
     size = 0
     for _ in range(1 + MAX_PASSED_OVER):
@@ -66,7 +71,7 @@
             return DueHead(head, verdict)
         size += await _pass_over(exchange, MAX_PASSED_OVER_BYTES - size)
         _log_passed_over(ctx, exchange, head)
-    raise http1.ResponseBroken("copies of earlier answers without end")
+    raise CopiesWithoutEnd("copies of earlier answers without end")
 
 
 async def _pass_over(exchange: Exchange, max_bytes: int) -> int:
@@ -75,7 +80,7 @@
     while not isinstance(part := await exchange.next_part(), h11.EndOfMessage):
         size += len(part.data) if isinstance(part, h11.Data) else 0
         if size > max_bytes:
-            raise http1.ResponseBroken("copy of an earlier answer without end")
+            raise CopiesWithoutEnd("copy of an earlier answer without end")
     exchange.conn.history.pass_over()
     exchange.conn.expect_another_response()
     return size
--- a/features/gateway_copies.feature
+++ b/features/gateway_copies.feature
@@ -72,6 +72,18 @@
       | a long copy of an answer        |
       | a copy without a length         |
 
+  # Guards against a request that counts as one which crashes engines, as its engine copies without end.
+  Scenario Outline: An engine that writes <copies> is not taken for one that has crashed
+    Given a gateway and a plain engine that writes <copies> before an answer
+    When 6 orders are sent, with a look at the engine's connections after each
+    Then at least 1 of them met a copy
+    And the gateway has not looked whether the engine has crashed
+
+    Examples:
+      | copies                   |
+      | ten copies of a refusal  |
+      | a long copy of an answer |
+
   # Guards against copies that are relayed in a stream, or for which it runs twice (LOST, TWICE).
   @promise.answer
   Scenario Outline: A stream whose head comes after <copies> is relayed whole
--- a/features/steps/gateway_copy_steps.py
+++ b/features/steps/gateway_copy_steps.py
@@ -123,9 +123,22 @@
 def step_orders(context, count):
     """Send them with a pause between them."""
     context.answers = []
+    send_orders(context, count, lambda: None)
+
+
+def send_orders(context, count, look):
+    """Send orders, and call ``look`` after the pause behind each."""
     for _ in range(count):
         context.answers.append(context.gateway.send("POST", "/order/a", body=b"one lorry"))
         time.sleep(ORDER_PAUSE_S)
+        look()
+
+
+@when("{count:d} orders are sent, with a look at the engine's connections after each")
+def step_orders_and_looks(context, count):
+    """Keep how many connections were open on which nothing had been asked."""
+    context.answers, context.unasked = [], []
+    send_orders(context, count, lambda: context.unasked.append(len(context.copying.unasked)))
 
 
 def check_once(context):
@@ -166,6 +179,12 @@
     assert all(statuses[item] == status for item in met), (met, statuses)
 
 
+@then("the gateway has not looked whether the engine has crashed")
+def step_no_look(context):
+    """Check the connections that were open without a request."""
+    assert not any(context.unasked), context.unasked
+
+
 @then("no order came to the process twice")
 def step_came_once(context):
     """Check what arrived; a proxy may copy a refusal to any connection to its address."""
--- a/features/support/platform/copyingengine.py
+++ b/features/support/platform/copyingengine.py
@@ -52,6 +52,7 @@
       runs: Ids of the requests that it has begun to run.
       ran_s: How long each run went on after the copy, in seconds.
       met: Ids of the requests before whose answers it has written a copy.
+      unasked: Open connections on which no request has come.
       given_up: When the other side closed a connection on which a request ran, by its id, in
         seconds on the monotonic clock.
     """
@@ -88,6 +89,7 @@
         super().__init__()
         self.arrived, self.runs, self.met = [], [], []
         self.given_up = {}
+        self.unasked = set()
         self._first = first
         self.ran_s = []
         self._drips = drips
@@ -103,9 +105,11 @@
     async def _serve(self, reader, writer):
         due = b""
         carried = 0
+        self.unasked.add(writer)
         try:
             while True:
                 request_id = await self._read_request(reader)
+                self.unasked.discard(writer)
                 seen = request_id in self.arrived
                 self.arrived.append(request_id)
                 if not (seen if self._by_id else carried):
@@ -125,6 +129,7 @@
             # The other side has closed the connection, or the scenario ends.
             pass
         finally:
+            self.unasked.discard(writer)
             writer.transport.abort()
 
     @staticmethod
