--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -334,7 +334,7 @@
     def _record_pace(self, current: attempt.Attempt, timing: baselines.Timing) -> None:
         """Add to the evidence about a version whether a stream is quick, or crawls."""
         usual, route = self.ctx.baselines, self.req.route.name
-        quick = usual.is_quick(route, current.model, timing)
+        quick = usual.is_quick(current.model, timing)
         crawling = usual.is_crawling(route, current.model, timing)
         result = rollouts.Evidence(paced=1, quick=int(quick), crawling=int(crawling))
         self._add_evidence(current.state.engine.version, result)
--- a/berylrock/ops/baselines.py
+++ b/berylrock/ops/baselines.py
@@ -36,12 +36,11 @@
 
 
 class _Baseline(NamedTuple):
-    """Smoothed times of the responses, and the shortest recent time between events."""
+    """Smoothed times of the responses."""
 
     samples: int
     first_part_s: float
     event_gap_s: float
-    min_event_gap_s: float
 
 
 class LatencyBaselines:
@@ -49,49 +48,46 @@
 
     def __init__(self) -> None:
         self._baselines: dict[tuple[str, str], _Baseline] = {}
+        # The shortest recent time between events by model, in seconds. Few streams of one route are
+        # as fast as the engines can be, and that time does not depend on the route.
+        self._min_event_gaps_s: dict[str, float] = {}
 
     def record(self, route: str, model: str, timing: Timing) -> None:
         """Update the usual times with a response of the stable version."""
+        self._record_min_event_gap(model, timing.event_gap_s)
         old = self._baselines.get((route, model))
         if old is None:
-            event_gap_s = timing.event_gap_s
-            self._baselines[(route, model)] = _Baseline(
-                1, timing.first_part_s, event_gap_s, event_gap_s
-            )
+            self._baselines[(route, model)] = _Baseline(1, timing.first_part_s, timing.event_gap_s)
             return
         first = old.first_part_s + SMOOTHING_FACTOR * (timing.first_part_s - old.first_part_s)
-        event_gap, min_event_gap = old.event_gap_s, old.min_event_gap_s
+        event_gap = old.event_gap_s
         if timing.event_gap_s > 0.0:
             event_gap += SMOOTHING_FACTOR * (timing.event_gap_s - event_gap)
-            # The minimum is 0 before the first sample.
-            min_event_gap = min(
-                min_event_gap * MINIMUM_GROWTH or timing.event_gap_s, timing.event_gap_s
-            )
-        self._baselines[(route, model)] = _Baseline(
-            old.samples + 1, first, event_gap, min_event_gap
-        )
+        self._baselines[(route, model)] = _Baseline(old.samples + 1, first, event_gap)
+
+    def _record_min_event_gap(self, model: str, event_gap_s: float) -> None:
+        """Update the shortest time between events of a model; 0 counts as not measured."""
+        if event_gap_s > 0.0:
+            known = self._min_event_gaps_s.get(model, event_gap_s)
+            self._min_event_gaps_s[model] = min(known * MINIMUM_GROWTH, event_gap_s)
 
     def usual_first_part_s(self, route: str, model: str) -> float:
         """Return the usual time to the first part of a response; 0 if it is not known."""
         baseline = self._baselines.get((route, model))
         return baseline.first_part_s if baseline is not None else 0.0
 
-    def is_quick(self, route: str, model: str, timing: Timing) -> bool:
+    def is_quick(self, model: str, timing: Timing) -> bool:
         """Tell whether a stream was about as fast as the fastest recent one of the stable version.
 
         Args:
-          route: The route's name.
           model: The model's name.
           timing: The stream's times.
 
         Returns:
-          Whether it was; True as long as there is no baseline.
+          Whether it was; True as long as no time between events is known.
         """
-        baseline = self._baselines.get((route, model))
-        # Without a baseline, a stream counts as quick.
-        if baseline is None or baseline.min_event_gap_s <= 0.0:
-            return True
-        return timing.event_gap_s <= QUICK_RATIO * baseline.min_event_gap_s
+        known = self._min_event_gaps_s.get(model)
+        return known is None or timing.event_gap_s <= QUICK_RATIO * known
 
     def is_crawling(self, route: str, model: str, timing: Timing) -> bool:
         """Tell whether a stream is several times slower than usual.
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -121,6 +121,12 @@
     Then a version with no quick stream among 12 is bad and one with one quick stream is not
     And few streams without a quick one are not sufficient evidence
 
+  # Guards against slow streams that count as quick on a route whose few usual ones met load (EXPOSURE).
+  @failure.bad_version
+  Scenario: A stream is compared with the fastest ones of its model on any route
+    Given 20 usual streams with 25 ms between events on one route, and 10 with 70 ms on another one
+    Then a stream with 95 ms between events is not quick, and one with 45 ms is
+
   # Guards against a rollback after one slow stream, while the old version has had few streams.
   Scenario: One stream that is not quick is no fault of a version
     Then a version with no quick stream among 1 is not bad while all 3 of the old one were quick
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -290,6 +290,25 @@
     assert not rollouts.find_fault(rollouts.Evidence(20, 0, 1, 5, 5, 0), LOADED_EVIDENCE)
 
 
+@given(
+    "{count:d} usual streams with {gap_ms:g} ms between events on one route,"
+    " and {others:d} with {other_gap_ms:g} ms on another one"
+)
+def step_usual_streams(context, count, gap_ms, others, other_gap_ms):
+    """Record them, the slower ones last."""
+    context.baselines = baselines.LatencyBaselines()
+    for route, number, gap in (("label", count, gap_ms), ("dossier", others, other_gap_ms)):
+        for _ in range(number):
+            context.baselines.record(route, "model", baselines.Timing(0.1, gap / 1000.0))
+
+
+@then("a stream with {slow_ms:g} ms between events is not quick, and one with {quick_ms:g} ms is")
+def step_quick_streams(context, slow_ms, quick_ms):
+    """Check both."""
+    assert not context.baselines.is_quick("model", baselines.Timing(0.1, slow_ms / 1000.0))
+    assert context.baselines.is_quick("model", baselines.Timing(0.1, quick_ms / 1000.0))
+
+
 @then("a version with no quick stream among 1 is not bad while all 3 of the old one were quick")
 def step_one_stream(context):
     """Check counts from right after the start of a rollout."""
