--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -6,6 +6,98 @@
 HAS_CARRIED = "            if conns[index].history.has_carried(request_id):\n"
 
 MUTANTS = (
+    Mutant(
+        "refusal-again",
+        "ops/answers.py",
+        "        if not claim.names:\n",
+        "        if False:\n",
+        "A request whose engine writes an earlier refusal once more",
+        (Edit("ops/answers.py", "        if named != current.digest:\n", "        if False:\n"),),
+    ),
+    Mutant(
+        "refusal-status",
+        "ops/answers.py",
+        "        if claim.status not in REFUSAL_STATUSES:\n",
+        "        if False:\n",
+        "that says that it did not run",
+    ),
+    Mutant(
+        "second-send",
+        "daemons/gateway/sending.py",
+        "        return not failure.arrived or routing.is_repeatable(self._req.route)\n",
+        "        return True\n",
+        "An order that an engine has refused is not sent to it again",
+        (
+            Edit(
+                "daemons/gateway/sending.py",
+                "frozenset() if is_repeatable else frozenset(self.reached)",
+                "frozenset()",
+            ),
+        ),
+    ),
+    Mutant(
+        "address-again",
+        "ops/selection.py",
+        "        and item.engine.address not in criteria.left\n",
+        "",
+        "at an address is not sent to that address again",
+    ),
+    Mutant(
+        "returned-run",
+        "daemons/gateway/attempt.py",
+        "        if paused or self._returns:\n",
+        "        if paused:\n",
+        "A read whose refusal is copied when it comes to another id",
+    ),
+    Mutant(
+        "misdirected",
+        "daemons/gateway/attempt.py",
+        "            self.state.notices.record_hint(now)\n",
+        "            pass\n",
+        "An engine that has started again under a new id",
+    ),
+    Mutant(
+        "copy-fails",
+        "ops/answers.py",
+        "                return Verdict(Meaning.EARLIER)\n",
+        "                break\n",
+        "gets its own answer",
+    ),
+    Mutant(
+        "former-address",
+        "platform/calls.py",
+        "            if not is_kept or item.address != address:\n",
+        "            if not is_kept:\n",
+        "No call goes to the store's former address",
+    ),
+    Mutant(
+        "store-path",
+        "platform/calls.py",
+        "            elif found is None and item.path == path:\n",
+        "            elif found is None:\n",
+        "A copy of the list of one kind",
+    ),
+    Mutant(
+        "watch-copy",
+        "platform/store.py",
+        "        if found is None or not self._may_follow(found, revision):\n",
+        "        if found is None:\n",
+        "A copy of the answer to a watch",
+    ),
+    Mutant(
+        "report-copy",
+        "platform/provider.py",
+        "        self._client.close()\n        if answer.status",
+        "        if answer.status",
+        "A copy of the answer to a report",
+    ),
+    Mutant(
+        "renewal-copy",
+        "daemons/gateway/reporting.py",
+        "        if written is None or written.revision <= (self._lease.revision or 0):\n",
+        "        if written is None:\n",
+        "A copy of the answer to a renewal",
+    ),
     Mutant(
         "plays-address-again",
         "ops/selection.py",
@@ -144,4 +236,34 @@
         "MAX_REMEMBERED = 1\n",
         PLAYS,
     ),
+    Mutant(
+        "copies-crash",
+        "daemons/gateway/dueresponse.py",
+        'raise CopiesWithoutEnd("copies',
+        'raise http1.ResponseBroken("copies',
+        "An engine that writes ten copies of a refusal is not taken for",
+    ),
+    Mutant(
+        "watch-as-list",
+        "platform/storedobjects.py",
+        "foreign in raw or ",
+        "",
+        "The answer to a watch is not taken for a list, after a copy of one without",
+    ),
+    Mutant(
+        "refused-watch-kept",
+        "platform/store.py",
+        "            # The answer to this watch may still come on the connection.\n"
+        "            self._client.close()\n",
+        "",
+        "The answer to a watch is not taken for a list, after a copy of one with ",
+        (Edit("platform/storedobjects.py", "foreign in raw or ", ""),),
+    ),
+    Mutant(
+        "second-loss",
+        "daemons/sidecar/entrylinks.py",
+        "if conn in self._settled or name not in self._lost_at:",
+        "if True:",
+        "said never to have started after two losses",
+    ),
 )
