--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -334,11 +334,15 @@
     def _record_pace(self, current: attempt.Attempt, timing: baselines.Timing) -> None:
         """Add to the evidence about a version whether a stream is quick, or crawls."""
         usual, route = self.ctx.baselines, self.req.route.name
-        quick = usual.is_quick(current.model, timing)
+        quick = usual.is_quick(self._pace_key(current.model), timing)
         crawling = usual.is_crawling(route, current.model, timing)
         result = rollouts.Evidence(paced=1, quick=int(quick), crawling=int(crawling))
         self._add_evidence(current.state.engine.version, result)
 
+    def _pace_key(self, model: str) -> baselines.PaceKey:
+        route = "" if model else self.req.route.name
+        return baselines.PaceKey(self.req.service, model, route)
+
     def _measure_timing(self, current: attempt.Attempt) -> baselines.Timing:
         """Return the time to the first event and the mean gap; 0 as gap if events are too few."""
         first_part_s = (self._first_event_at or self.now) - current.sent_at
@@ -357,6 +361,7 @@
         slow = self.ctx.baselines.is_slow(self.req.route.name, model, timing)
         if complete and not on_trial:
             self.ctx.baselines.record(self.req.route.name, model, timing)
+            self.ctx.baselines.record_pace(self._pace_key(model), timing.event_gap_s)
         if complete:
             crashes.record_begun(self.ctx, self.req)
             self.ctx.strikes.clear(self.req.fingerprint)
--- a/berylrock/ops/baselines.py
+++ b/berylrock/ops/baselines.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["LatencyBaselines", "Timing"]
+__all__ = ["LatencyBaselines", "PaceKey", "Timing"]
 
 SMOOTHING_FACTOR = 0.1
 MIN_SAMPLES = 8
@@ -35,6 +35,20 @@
     event_gap_s: float
 
 
+class PaceKey(NamedTuple):
+    """What the time between two events of a stream depends on, beside its engine's load.
+
+    Attributes:
+      service: Name of the service.
+      model: Name of the model; empty if the caller chooses it.
+      route: Name of the route if the caller chooses the model, else empty.
+    """
+
+    service: str
+    model: str
+    route: str
+
+
 class _Baseline(NamedTuple):
     """Smoothed times of the responses."""
 
@@ -48,13 +62,12 @@
 
     def __init__(self) -> None:
         self._baselines: dict[tuple[str, str], _Baseline] = {}
-        # The shortest recent time between events by model, in seconds. Few streams of one route are
-        # as fast as the engines can be, and that time does not depend on the route.
-        self._min_event_gaps_s: dict[str, float] = {}
+        # The shortest recent time between events, in seconds. Few streams of one route are as fast
+        # as the engines can be, so those of other routes with the same model count as well.
+        self._min_event_gaps_s: dict[PaceKey, float] = {}
 
     def record(self, route: str, model: str, timing: Timing) -> None:
         """Update the usual times with a response of the stable version."""
-        self._record_min_event_gap(model, timing.event_gap_s)
         old = self._baselines.get((route, model))
         if old is None:
             self._baselines[(route, model)] = _Baseline(1, timing.first_part_s, timing.event_gap_s)
@@ -65,29 +78,36 @@
             event_gap += SMOOTHING_FACTOR * (timing.event_gap_s - event_gap)
         self._baselines[(route, model)] = _Baseline(old.samples + 1, first, event_gap)
 
-    def _record_min_event_gap(self, model: str, event_gap_s: float) -> None:
-        """Update the shortest time between events of a model; 0 counts as not measured."""
+    def record_pace(self, key: PaceKey, event_gap_s: float) -> None:
+        """Update the shortest time between events with a stream of the stable version.
+
+        Args:
+          key: What the stream's pace depends on.
+          event_gap_s: Mean time between its events, in seconds; 0 if it was not measured.
+        """
         if event_gap_s > 0.0:
-            known = self._min_event_gaps_s.get(model, event_gap_s)
-            self._min_event_gaps_s[model] = min(known * MINIMUM_GROWTH, event_gap_s)
+            known = self._min_event_gaps_s.get(key, event_gap_s)
+            self._min_event_gaps_s[key] = min(known * MINIMUM_GROWTH, event_gap_s)
 
     def usual_first_part_s(self, route: str, model: str) -> float:
         """Return the usual time to the first part of a response; 0 if it is not known."""
         baseline = self._baselines.get((route, model))
         return baseline.first_part_s if baseline is not None else 0.0
 
-    def is_quick(self, model: str, timing: Timing) -> bool:
+    def is_quick(self, key: PaceKey, timing: Timing) -> bool:
         """Tell whether a stream was about as fast as the fastest recent one of the stable version.
 
         Args:
-          model: The model's name.
+          key: What the stream's pace depends on.
           timing: The stream's times.
 
         Returns:
           Whether it was; True as long as no time between events is known.
         """
-        known = self._min_event_gaps_s.get(model)
-        return known is None or timing.event_gap_s <= QUICK_RATIO * known
+        known = self._min_event_gaps_s.get(key)
+        if known is None:
+            return True
+        return timing.event_gap_s <= max(MIN_SLOW_EVENT_GAP_S, QUICK_RATIO * known)
 
     def is_crawling(self, route: str, model: str, timing: Timing) -> bool:
         """Tell whether a stream is several times slower than usual.
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -124,9 +124,20 @@
   # Guards against slow streams that count as quick on a route whose few usual ones met load (EXPOSURE).
   @failure.bad_version
   Scenario: A stream is compared with the fastest ones of its model on any route
-    Given 20 usual streams with 25 ms between events on one route, and 10 with 70 ms on another one
+    Given 20 usual streams of a model with 25 ms between events, then 10 with 70 ms
     Then a stream with 95 ms between events is not quick, and one with 45 ms is
 
+  # Guards against good versions that are rolled back beside faster streams of other models.
+  Scenario: A stream is not compared with those of other models
+    Given 20 usual streams of a model with 10 ms between events, then 10 with 12 ms
+    Then one with 95 ms is quick for the same model of another service
+    And one with 95 ms is quick on a route whose callers choose the model
+
+  # Guards against good versions that are rolled back after a gateway has stalled for a moment.
+  Scenario: Streams that waited in a buffer are no measure for the others
+    Given 20 usual streams of a model with 25 ms between events, then 10 with 25 ms
+    Then after a stream whose events all came at once, one with 28 ms is still quick
+
   # Guards against a rollback after one slow stream, while the old version has had few streams.
   Scenario: One stream that is not quick is no fault of a version
     Then a version with no quick stream among 1 is not bad while all 3 of the old one were quick
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -9,6 +9,7 @@
 from berylrock.ops import baselines, rollouts, routecascade, timeouts, trials
 
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
+SHARED_MODEL = baselines.PaceKey("service", "model", "")
 
 
 def simulate_rollout(results, seconds=24.0, per_s=30.0, canary_share=CANARY_SHARE):
@@ -290,23 +291,52 @@
     assert not rollouts.find_fault(rollouts.Evidence(20, 0, 1, 5, 5, 0), LOADED_EVIDENCE)
 
 
+def is_quick(context, key, gap_ms):
+    """Tell whether a stream with so many milliseconds between events is quick."""
+    return context.baselines.is_quick(key, baselines.Timing(0.1, gap_ms / 1000.0))
+
+
 @given(
-    "{count:d} usual streams with {gap_ms:g} ms between events on one route,"
-    " and {others:d} with {other_gap_ms:g} ms on another one"
+    "{count:d} usual streams of a model with {gap_ms:g} ms between events,"
+    " then {others:d} with {slow_ms:g} ms"
 )
-def step_usual_streams(context, count, gap_ms, others, other_gap_ms):
-    """Record them, the slower ones last."""
+def step_usual_streams(context, count, gap_ms, others, slow_ms):
+    """Record them; the slower ones come from another route."""
     context.baselines = baselines.LatencyBaselines()
-    for route, number, gap in (("label", count, gap_ms), ("dossier", others, other_gap_ms)):
+    for number, gap in ((count, gap_ms), (others, slow_ms)):
         for _ in range(number):
-            context.baselines.record(route, "model", baselines.Timing(0.1, gap / 1000.0))
+            context.baselines.record_pace(SHARED_MODEL, gap / 1000.0)
 
 
 @then("a stream with {slow_ms:g} ms between events is not quick, and one with {quick_ms:g} ms is")
 def step_quick_streams(context, slow_ms, quick_ms):
     """Check both."""
-    assert not context.baselines.is_quick("model", baselines.Timing(0.1, slow_ms / 1000.0))
-    assert context.baselines.is_quick("model", baselines.Timing(0.1, quick_ms / 1000.0))
+    assert not is_quick(context, SHARED_MODEL, slow_ms)
+    assert is_quick(context, SHARED_MODEL, quick_ms)
+
+
+@then("one with {gap_ms:g} ms is quick for the same model of another service")
+def step_other_service(context, gap_ms):
+    """Check a service whose streams are all slower."""
+    other = SHARED_MODEL._replace(service="other")
+    context.baselines.record_pace(other, gap_ms / 1000.0)
+    assert is_quick(context, other, gap_ms)
+
+
+@then("one with {gap_ms:g} ms is quick on a route whose callers choose the model")
+def step_chosen_model(context, gap_ms):
+    """Check a route whose streams are all slower than those of another such route."""
+    routes = [baselines.PaceKey("service", "", name) for name in ("label", "dossier")]
+    for key, usual_ms in zip(routes, (gap_ms / 4, gap_ms), strict=True):
+        context.baselines.record_pace(key, usual_ms / 1000.0)
+    assert is_quick(context, routes[1], gap_ms)
+
+
+@then("after a stream whose events all came at once, one with {gap_ms:g} ms is still quick")
+def step_burst(context, gap_ms):
+    """Check a stream that had waited in a buffer."""
+    context.baselines.record_pace(SHARED_MODEL, 0.0001)
+    assert is_quick(context, SHARED_MODEL, gap_ms)
 
 
 @then("a version with no quick stream among 1 is not bad while all 3 of the old one were quick")
