--- a/features/gateway_claims.feature
+++ b/features/gateway_claims.feature
@@ -27,8 +27,8 @@
   @failure.store_outage
   Scenario Outline: The answer to a watch is not taken for a list, after a copy of one <what> changes
     Given a store that writes each answer once more when the next call comes
-    When "servers" is watched twice, <what> changes, and then listed
-    Then the list has the object that is there, or there is no list
+    When "servers" is watched twice, <what> changes, and then listed twice
+    Then each list has the object that is there, and the second one is no failure
 
     Examples:
       | what    |
--- a/features/process_claims.feature
+++ b/features/process_claims.feature
@@ -51,3 +51,10 @@
     Given a sidecar that has run an attempt for an entry process whose connection was then lost
     When 20001 more attempts have ended there, and the entry process asks after a second loss
     Then the attempt is said to have ended without an answer
+
+  # Guards against an outcome that stays unknown for calls which never started, once runs have been forgotten.
+  @promise.not_run
+  Scenario: An attempt is said never to have started if nothing was forgotten since all were asked for
+    Given a sidecar that has run an attempt for an entry process whose connection was then lost
+    When 20001 more attempts have ended there, and the entry process comes back, lives, is lost and asks for a new one
+    Then the new attempt is said never to have started
--- a/features/steps/gateway_claim_steps.py
+++ b/features/steps/gateway_claim_steps.py
@@ -168,9 +168,9 @@
     assert context.second is None or not context.second.changes, context.second
 
 
-@when('"{kind}" is watched twice, {what:w} changes, and then listed')
+@when('"{kind}" is watched twice, {what:w} changes, and then listed twice')
 def step_watches_and_lists(context, kind, what):
-    """Keep the list that is read right after the second watch."""
+    """Keep the lists that are read right after the second watch."""
 
     async def play():
         client = await open_store(context)
@@ -181,20 +181,20 @@
         first = await client.watch(kind, revision, WAIT_S)
         with contextlib.suppress(errors.StoreUnavailable):
             await client.watch(kind, first.revision, WAIT_S)
-        try:
-            context.listing = await client.list(kind)
-        except errors.StoreUnavailable:
-            context.listing = None
+        context.listings = []
+        with contextlib.suppress(errors.StoreUnavailable):
+            context.listings.append(await client.list(kind))
+        context.listings.append(await client.list(kind))
         client.close()
 
     asyncio.run(play())
 
 
-@then("the list has the object that is there, or there is no list")
-def step_list_is_whole(context):
-    """Check it."""
-    found = context.listing
-    assert found is None or "of-servers" in [item.name for item in found.objects], found
+@then("each list has the object that is there, and the second one is no failure")
+def step_lists_are_whole(context):
+    """Check them; a failure of the second list has ended the step before."""
+    for found in context.listings:
+        assert "of-servers" in [item.name for item in found.objects], found
 
 
 @given("two stores, and a client with a kept connection to the first one")
--- a/features/steps/process_claim_steps.py
+++ b/features/steps/process_claim_steps.py
@@ -203,6 +203,21 @@
     reattach(context)
 
 
+@when(
+    "{count:d} more attempts have ended there, and the entry process comes back, lives, is lost"
+    " and asks for a new one"
+)
+def step_settled_loss(context, count):
+    """Let it send a heartbeat on its second connection, and lose that later."""
+    end_others(context, count)
+    conn = context.connections["entry-1"]
+    context.links.links[conn] = "entry-1"
+    context.links._handle_heartbeat(conn, message.Heartbeat(1))
+    context.clock.at = 40.0
+    context.links._drop(conn)
+    reattach(context, "new")
+
+
 def end_others(context, count):
     """Let so many other runs end."""
     context.clock.at = 30.0
@@ -210,11 +225,18 @@
         end_run(context, f"other-{number}")
 
 
-def reattach(context):
-    """Let the entry process connect again and ask for its attempt."""
+def reattach(context, attempt="first"):
+    """Let the entry process connect again and ask for an attempt."""
     conn = context.connections["entry-1"]
     context.links.links[conn] = "entry-1"
-    context.links._handle_attach(conn, message.Attach("first", 0))
+    context.links._handle_attach(conn, message.Attach(attempt, 0))
+
+
+@then("the new attempt is said never to have started")
+def step_never_started(context):
+    """Check the frame."""
+    frame = context.connections["entry-1"].sent[-1]
+    assert isinstance(frame, message.Refused), frame
 
 
 @then("the attempt is said to have ended without an answer")
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -266,4 +266,11 @@
         "if True:",
         "said never to have started after two losses",
     ),
+    Mutant(
+        "never-settled",
+        "daemons/sidecar/entrylinks.py",
+        "        self._settled.add(conn)\n",
+        "",
+        "is said never to have started if nothing was forgotten",
+    ),
 )
