--- a/features/gateway_answers.feature
+++ b/features/gateway_answers.feature
@@ -6,6 +6,12 @@
   Scenario: Whatever engines copy, requests run once, keep their own answers, and are told the truth
     Then no play of sends, refusals, runs, copies, pauses and repeats breaks a promise
 
+  # Guards against bytes of one answer that are taken for another one, wherever a segment ends (TWICE, LOST).
+  @promise.answer @failure.lost_answer
+  Scenario: However the bytes of answers are cut, a request gets its own answer or an error
+    Then no drawn exchange of two requests on a connection gives the second one foreign bytes
+    And each exchange without further bytes gives it its whole answer
+
   # Guards against a copy that is taken for an answer because its request is long past (TWICE).
   Scenario: A connection knows the last 64 requests that it has carried
     Then a copy for one of these is passed over, and one for an older request proves nothing
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -6,11 +6,11 @@
 
 import hypothesis
 from behave import then
-from support import answer_data, answersim, gateway_data
+from support import answer_data, answercuts, answersim, gateway_data
 
 from berylrock.ops import answers
 
-PLAYS = 600
+PLAYS, EXCHANGES = 600, 1000
 # Requests of a connection whose answers may be copied, by docs/design/answers.md.
 REMEMBERED = 64
 KB = 1024
@@ -42,6 +42,38 @@
     assert all(seen[name] >= PLAYS / 10 for name in seen) and len(seen) == 4, seen
 
 
+@then("no drawn exchange of two requests on a connection gives the second one foreign bytes")
+def step_cuts(context):
+    """Play drawn exchanges; those without further bytes are kept for the next step."""
+    context.sound, seen = [], collections.Counter()
+
+    @hypothesis.settings(gateway_data.property_settings, max_examples=EXCHANGES)
+    @hypothesis.given(answercuts.exchanges())
+    def check(exchange):
+        found = answercuts.play(exchange)
+        due = exchange.answers[1]
+        is_own = (found.status, found.body) == (due.status, due.body)
+        assert is_own or not found.status, (found, exchange)
+        if exchange.is_sound:
+            context.sound.append((found, exchange))
+        seen["own answer"] += is_own
+        seen["error"] += found.reused and not found.status
+        seen["connection closed"] += not found.reused
+        seen["copy passed over"] += found.passed_over
+
+    check()
+    assert all(seen[name] >= EXCHANGES / 50 for name in seen) and len(seen) == 4, seen
+
+
+@then("each exchange without further bytes gives it its whole answer")
+def step_sound_cuts(context):
+    """Check those exchanges."""
+    assert len(context.sound) >= EXCHANGES / 20, len(context.sound)
+    for found, exchange in context.sound:
+        due = exchange.answers[1]
+        assert found.reused and (found.status, found.body) == (due.status, due.body), exchange
+
+
 @then("a copy for one of these is passed over, and one for an older request proves nothing")
 def step_last(context):
     """Judge copies of all requests that a connection has carried."""
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -3,6 +3,7 @@
 from support.mutanttypes import Edit, Mutant
 
 PLAYS = "Whatever engines copy, requests run once"
+CUTS = "However the bytes of answers are cut"
 HAS_CARRIED = "            if conns[index].history.has_carried(request_id):\n"
 
 MUTANTS = (
@@ -273,4 +274,28 @@
         "",
         "is said never to have started if nothing was forgotten",
     ),
+    Mutant(
+        "cut-idle-data",
+        "adapters/http1.py",
+        "idle = not self.reader.has_data and not self.reader.ended.is_set()",
+        "idle = True",
+        CUTS,
+        (Edit("ops/answers.py", "        if named != current.digest:\n", "        if False:\n"),),
+    ),
+    Mutant(
+        "cut-trailing",
+        "adapters/http1.py",
+        "if not complete or trailing or self.reader.has_data or self.reader.ended.is_set():",
+        "if not complete:",
+        CUTS,
+        (Edit("ops/answers.py", "        if named != current.digest:\n", "        if False:\n"),),
+    ),
+    Mutant(
+        "cut-nameless",
+        "ops/answers.py",
+        "        if not claim.names:\n",
+        "        if False:\n",
+        CUTS,
+        (Edit("ops/answers.py", "        if named != current.digest:\n", "        if False:\n"),),
+    ),
 )
