--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -303,4 +303,18 @@
         "        await self._send_one(name)\n",
         "A gateway stops while its counts wait for an answer",
     ),
+    Mutant(
+        "odd-address",
+        "platform/decoding.py",
+        "    except (msgspec.ValidationError, ValueError):\n        return None\n    if raw.state",
+        "    except msgspec.ValidationError:\n        return None\n    if raw.state",
+        "the store's objects are read or refused",
+    ),
+    Mutant(
+        "odd-confidence",
+        "platform/translating.py",
+        "_finite_number(fields, names.CONFIDENCE)",
+        "_number(fields, names.CONFIDENCE)",
+        "heads of responses are read or refused",
+    ),
 )
