--- /dev/null
+++ b/features/gateway_sessions.feature
@@ -0,0 +1,12 @@
+Feature: Sessions that come to several gateways
+  Callers send the requests of a session to one gateway and the next ones to another, as they do when
+  connections are balanced anew.
+
+  # Guards against sessions that change their version early, as another gateway does not know them (PINNED).
+  @promise.version @failure.rollout
+  Scenario: A session that comes to another gateway early in a rollout keeps its version
+    Given three gateways that connect to the engines directly
+    When a chat of each of 300 sessions is sent to the first gateway
+    And a rollout of the models with a distant deadline is under way at all gateways
+    And a chat of each of these sessions is sent to the second gateway
+    Then at most 3 of these chats run on the new version
