--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -370,6 +370,7 @@
             organisation=flow.req.organisation,
             session=flow.req.head.session,
             version=flow.dispatcher.version,
+            version_source=flow.dispatcher.version_source,
             engines=",".join(flow.dispatcher.sent_to),
             sends=flow.dispatcher.attempts_sent,
             outcome=flow.responder.outcome,
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -15,6 +15,7 @@
     pacing,
     rollouts,
     selection,
+    sessionversions,
     timeouts,
 )
 
@@ -24,6 +25,8 @@
 # spread evenly over the gateways.
 SLOT_SHARE_FACTOR = 2.0
 MIN_RUNNING_LIMIT = 4
+# Sessions are remembered for so much longer than they live, as clocks and messages take time.
+SESSION_MARGIN_S = 1.0
 
 
 class Dispatcher:
@@ -37,6 +40,7 @@
       attempts_sent: All attempts.
       attempts_arrived: Attempts that may have reached an engine; all but the first are retries.
       version: Version that the request is to run on; None before it is chosen.
+      version_source: What decided the version, as in ``rollouts.VersionChoice``.
       last_reason: Why the last attempt failed; empty if none has.
       caller_left: Whether the caller has disconnected, so that no further attempt is made.
     """
@@ -52,6 +56,7 @@
         self.attempts_arrived = 0
         self.last_reason = ""
         self.version: str | None = None
+        self.version_source = ""
         self.caller_left = False
         self._current: attempt.Attempt | None = None
         self._is_counted = False
@@ -213,16 +218,46 @@
         if self.version in allowed:
             return self.version
         session = req.head.session or req.head.id
-        kept = ctx.sessions.find(req.service, session, now, ctx.cfg.bounds.session_ttl_s + 1.0)
+        last = self._last_of_session(now)
+        kept = last.version if last is not None else None
         sampling_share = ctx.sampling_share(req)
-        self.version = rollouts.choose_version(plan, req.service, session, kept, sampling_share)
+        choice = rollouts.choose_version(plan, req.service, session, kept, sampling_share)
+        self.version, self.version_source = choice
         return self.version
 
+    def _last_of_session(self, now: float) -> sessionversions.SessionRun | None:
+        """Return the last request of the session that this gateway has served."""
+        ctx, req = self._ctx, self._req
+        ttl_s = ctx.cfg.bounds.session_ttl_s + SESSION_MARGIN_S
+        return ctx.sessions.find(req.service, req.head.session, now, ttl_s)
+
+    def _log_session_change(self, now: float) -> None:
+        """Log and count a session that changes its version before it may, or goes back."""
+        ctx, last = self._ctx, self._last_of_session(now)
+        plan = ctx.plan_for(self._req.service)
+        if last is None or last.version == self.version or plan.trial is None:
+            return
+        early = self.version == plan.trial and plan.stage == 0
+        if not early and self.version == plan.trial:
+            return
+        ctx.meter.count("sessions_changed_early" if early else "sessions_changed_back")
+        ctx.log.write(
+            "session_changed",
+            request=self._req.head.id,
+            session=self._req.head.session,
+            before=last.version,
+            after=self.version,
+            age_s=round(now - last.at, 2),
+            source=self.version_source,
+            stage=plan.stage,
+        )
+
     def record_session(self) -> None:
         """Record the version that the request's session runs on."""
         session, version = self._req.head.session, self.version
         if session and version is not None:
             now = asyncio.get_running_loop().time()
+            self._log_session_change(now)
             self._ctx.sessions.record(self._req.service, session, version, now)
 
     def _log_sent(self, state: enginestate.EngineState, model: str, last_event: int | None) -> None:
@@ -239,6 +274,8 @@
             engine=state.engine.id,
             address=state.engine.host_port,
             version=state.engine.version,
+            version_source=self.version_source,
+            stage=ctx.plan_for(self._req.service).stage,
             model=model,
             after_event=last_event,
             running=f"{state.running}+{others.running}",
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -26,6 +26,7 @@
     "Plan",
     "Schedule",
     "Verdict",
+    "VersionChoice",
     "majority_version",
     "choose_version",
     "decide",
@@ -127,12 +128,14 @@
         none.
       share: Share of the sessions that goes to ``trial``, 0 to 1.
       forbidden: Versions that receive no requests.
+      stage: Stage of the rollout that introduces ``trial``, from 0; -1 without one.
     """
 
     stable: str | None
     trial: str | None
     share: float
     forbidden: frozenset[str]
+    stage: int = -1
 
 
 class Schedule(NamedTuple):
@@ -196,8 +199,8 @@
         return Plan(rollout.target, None, 0.0, frozenset())
     if rollout.state == "reverted" or vetoed:
         return Plan(stable, None, 0.0, frozenset((rollout.target,)))
-    share = STAGE_SHARES[min(rollout.stage, LAST_STAGE)]
-    return Plan(stable, rollout.target, share, frozenset())
+    stage = min(rollout.stage, LAST_STAGE)
+    return Plan(stable, rollout.target, STAGE_SHARES[stage], frozenset(), stage)
 
 
 def _hash_to_unit_interval(service: str, target: str, session: str) -> float:
@@ -205,9 +208,22 @@
     return int.from_bytes(digest, "big") / HASH_RANGE
 
 
+class VersionChoice(NamedTuple):
+    """The version chosen for a request, and what decided it.
+
+    Attributes:
+      version: The version; None if none is known.
+      source: What decided: ``only`` if no rollout offers another one, ``kept`` for the version of the
+        session's last request, ``hash`` for the share of the rollout's stage.
+    """
+
+    version: str | None
+    source: str
+
+
 def choose_version(
     plan: Plan, service: str, session: str, kept: str | None, sampling_share: float = 0.0
-) -> str | None:
+) -> VersionChoice:
     """Choose the version for a session's next request.
 
     Args:
@@ -219,16 +235,16 @@
         that is more than the plan's.
 
     Returns:
-      The version; None if none is known.
+      The version and its source.
     """
     if plan.trial is None:
-        return plan.stable
+        return VersionChoice(plan.stable, "only")
     # An active session keeps its version until the last stage.
     if kept is not None and plan.share < 1.0 and kept in (plan.stable, plan.trial):
-        return kept
+        return VersionChoice(kept, "kept")
     if _hash_to_unit_interval(service, plan.trial, session) < max(plan.share, sampling_share):
-        return plan.trial
-    return plan.stable or plan.trial
+        return VersionChoice(plan.trial, "hash")
+    return VersionChoice(plan.stable or plan.trial, "hash")
 
 
 def trial_engines(engine_ids: list[str], plan: Plan) -> frozenset[str]:
--- a/berylrock/ops/sessionversions.py
+++ b/berylrock/ops/sessionversions.py
@@ -1,23 +1,37 @@
 """Remembers on which version each active session runs."""
 
-__all__ = ["SessionVersions"]
+from typing import NamedTuple
+
+__all__ = ["SessionRun", "SessionVersions"]
+
+
+class SessionRun(NamedTuple):
+    """The last request of a session at this gateway.
+
+    Attributes:
+      version: The version that it ran on.
+      at: Time at which it was sent, or at which it ended if that is known, in seconds.
+    """
+
+    version: str
+    at: float
 
 
 class SessionVersions:
     """The versions of active sessions, by service."""
 
     def __init__(self) -> None:
-        self._last: dict[tuple[str, str], tuple[str, float]] = {}
+        self._last: dict[tuple[str, str], SessionRun] = {}
 
-    def find(self, service: str, session: str, now: float, ttl_s: float) -> str | None:
-        """Return the version of a session's last request; None if it is older than ``ttl_s``."""
-        version, at = self._last.get((service, session), ("", 0.0))
-        return version if version and now - at < ttl_s else None
+    def find(self, service: str, session: str, now: float, ttl_s: float) -> SessionRun | None:
+        """Return a session's last request; None if it is older than ``ttl_s``."""
+        found = self._last.get((service, session))
+        return found if found is not None and now - found.at < ttl_s else None
 
     def record(self, service: str, session: str, version: str, now: float) -> None:
         """Record the version that a session's request runs on."""
-        self._last[(service, session)] = (version, now)
+        self._last[(service, session)] = SessionRun(version, now)
 
     def expire(self, now: float, ttl_s: float) -> None:
         """Remove sessions that were inactive for ``ttl_s`` seconds."""
-        self._last = {key: item for key, item in self._last.items() if now - item[1] < ttl_s}
+        self._last = {key: item for key, item in self._last.items() if now - item.at < ttl_s}
--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -151,7 +151,11 @@
             failed = [item for item in found.own if item.event == "attempt_failed"]
             steps = [item for item in found.own if item.event == "step_up"]
             text = f"Ended as {fields.get('outcome')!r} after {fields.get('took_ms')} ms and "
-            text += f"{fields.get('sends')} attempts (version {fields.get('version')})."
+            text += f"{fields.get('sends')} attempts (version {fields.get('version')}"
+            text += f" by {fields['version_source']})." if "version_source" in fields else ")."
+            changed = [item for item in found.own if item.event == "session_changed"]
+            if changed:
+                text += f" Its session ran on {changed[-1].fields.get('before')} before."
             if steps:
                 text += (
                     " The smallest model had low confidence "
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -160,15 +160,17 @@
         plan = rollouts.Plan("v1", "v2", share, frozenset())
         for number in range(200):
             for kept in ("v1", "v2"):
-                assert rollouts.choose_version(plan, "models", f"s{number}", kept) == kept
+                assert rollouts.choose_version(plan, "models", f"s{number}", kept).version == kept
 
 
 @then("every gateway chooses the same version for a new session")
 def step_deterministic(context):
     """Check that the choice depends on nothing but session and stage."""
     plan = rollouts.Plan("v1", "v2", 0.5, frozenset())
-    first = [rollouts.choose_version(plan, "models", f"s{n}", None) for n in range(100)]
-    assert first == [rollouts.choose_version(plan, "models", f"s{n}", None) for n in range(100)]
+    first = [rollouts.choose_version(plan, "models", f"s{n}", None).version for n in range(100)]
+    assert first == [
+        rollouts.choose_version(plan, "models", f"s{n}", None).version for n in range(100)
+    ]
     assert 30 < first.count("v2") < 70
 
 
@@ -178,7 +180,11 @@
     moved = set()
     for share in rollouts.STAGE_SHARES:
         plan = rollouts.Plan("v1", "v2", share, frozenset())
-        now = {n for n in range(500) if rollouts.choose_version(plan, "m", f"s{n}", None) == "v2"}
+        now = {
+            n
+            for n in range(500)
+            if rollouts.choose_version(plan, "m", f"s{n}", None).version == "v2"
+        }
         assert moved <= now
         moved = now
     assert len(moved) == 500
@@ -194,10 +200,12 @@
         rollouts.make_plan(rollout._replace(state="running"), engines, True),
         rollouts.make_plan(None, engines, False),
     ):
-        chosen = {rollouts.choose_version(plan, "models", f"s{n}", None) for n in range(100)}
+        chosen = {
+            rollouts.choose_version(plan, "models", f"s{n}", None).version for n in range(100)
+        }
         assert chosen == {"v1"}
     done = rollouts.make_plan(rollout._replace(state="completed"), engines, False)
-    assert rollouts.choose_version(done, "models", "s", "v1") == "v2"
+    assert rollouts.choose_version(done, "models", "s", "v1").version == "v2"
 
 
 @then("an answer with high confidence is forwarded and one with low confidence is not")
