--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -213,7 +213,7 @@
 
     Attributes:
       version: The version; None if none is known.
-      source: What decided: ``only`` if no rollout offers another one, ``kept`` for the version of the
+      source: What decided: ``only`` if no rollout offers another one, ``kept`` for that of the
         session's last request, ``hash`` for the share of the rollout's stage.
     """
 
