Hold back from a rollout's first stage the sessions that all gateways know, not one (PINNED)

Callers saw a session that had begun on the old version get an answer of the new one in the first half of a rollout, and one that had moved in the second stage go back to the old version.

Cause: a session's version was decided by one gateway's memory, and by a hash where that had none.

Change: in the first stage a session stays on the old version if it is in a set that all gateways share (heldsessions): the covered sessions that were active when the order came or that ran on the old version since. The set only grows; datagrams carry its size and checksum, and digests only for a receiver whose report differs. Before the first stage, for a second, all sessions run on the old version and the gateways collect the set. In the later stages, sessions may move, and the hash alone decides. A session is active as long as a request of it runs, not for a time since it was sent.

The decision step "an active session keeps its version" tested the memory of one gateway in the first two stages; it now tests held sessions before and in the first stage, where they must not move, and that the choice of the second stage depends on nothing but the session. Mutants: held-alone, held-unknown-at-order, no-collecting.

--- a/berylrock/daemons/gateway/callers.py
+++ b/berylrock/daemons/gateway/callers.py
@@ -258,6 +258,7 @@
             await self._run_to_end(conn, flow)
         finally:
             flow.release_body()
+            flow.dispatcher.end_session()
             self._log_done(flow, received_at)
 
     async def _run_to_end(self, conn: http1.CallerConnection, flow: forwarding.Forwarding) -> None:
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -37,7 +37,7 @@
     rolloutrecovery,
     rollouts,
     routetable,
-    sessionversions,
+    sessionplacement,
     storegaps,
     strikes,
     views,
@@ -51,6 +51,8 @@
 # this value, quarantine a request after ``strikes.DEFAULT_CRASHES_TO_QUARANTINE`` crashes.
 CRASHES_TO_QUARANTINE = 3
 MS_PER_S = 1000.0
+# Sessions are remembered for so much longer than they live, as messages between gateways take time.
+SESSION_MARGIN_S = 1.0
 # Kinds of objects without which no request can be served.
 SERVED_KINDS = (names.CONFIG_KIND, names.ENGINES_KIND)
 
@@ -98,7 +100,7 @@
       peers_restored_at: When the store was last seen to have come back with older records, on the
         event loop's clock.
       peer_freshness: When the store last confirmed the views of the other gateways.
-      sessions: Version of each active session.
+      sessions: The versions that sessions run on.
       strikes: Requests that were running on engines when those crashed.
       blame: Prompt parts that may crash engines.
       budgets: Retry budgets by service.
@@ -146,7 +148,7 @@
         self.peers: dict[str, tuple[routing.Peer, float]] = {}
         self.peers_restored_at = -math.inf
         self.peer_freshness = readiness.PeerFreshness()
-        self.sessions = sessionversions.SessionVersions()
+        self.sessions = sessionplacement.SessionPlacement()
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
         self.budgets: dict[str, budget.WindowBudget] = {}
@@ -301,6 +303,16 @@
         others = self.load_view.peer_usage(service, now)
         return self.budget_for(service).rate(now, window_s, others)
 
+    @property
+    def session_ttl_s(self) -> float:
+        """Time after its last request for which a session is active, in seconds."""
+        return self.cfg.bounds.session_ttl_s + SESSION_MARGIN_S
+
+    def follow_rollouts(self) -> None:
+        """Hold the sessions that new rollouts may not move yet; forget what has passed."""
+        now = asyncio.get_running_loop().time()
+        self.sessions.follow(self.rollouts.values(), now, self.session_ttl_s)
+
     def plan_for(self, service: str) -> rollouts.Plan:
         """Return which versions of a service may get requests now."""
         rollout = self.rollouts.get(service)
--- a/berylrock/daemons/gateway/gossip.py
+++ b/berylrock/daemons/gateway/gossip.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from berylrock.core import duties, errors, routing
-from berylrock.daemons.gateway import context, crashes, gossipmessage
+from berylrock.daemons.gateway import context, crashes, gossipmessage, rolloutexchange
 from berylrock.ops import budget, evidence, freshness, loadreport, views
 
 __all__ = ["Gossip"]
@@ -52,6 +52,7 @@
         self._next_result = 0
         self._changed_results = evidence.ChangedResults()
         self._next_limit = 0
+        self._rollouts = rolloutexchange.RolloutExchange(ctx)
 
     async def start(self) -> None:
         """Listen for datagrams; raises ``SettingsError`` if the port cannot be used."""
@@ -70,7 +71,7 @@
         and dropped.
         """
         try:
-            message = msgspec.msgpack.decode(data, type=gossipmessage.DutyGossipMessage)
+            message = msgspec.msgpack.decode(data, type=gossipmessage.RolloutGossipMessage)
         except msgspec.MsgspecError:
             self._ctx.meter.count("gossip_unreadable")
             return
@@ -87,6 +88,7 @@
             self._ctx.engines.record_hints(message.leaving, now)
             self._record_limits(message, sent_at)
             self._record_duty(message, now)
+            self._rollouts.receive(message)
         try:
             loads = loadreport.unpack(message.packed_loads, now)
         except ValueError:
@@ -196,12 +198,18 @@
 
     def broadcast(self) -> None:
         """Send the current state to the other gateways."""
+        self._rollouts.begin_round()
         peers = self._choose_peers()
         if self._transport is None or not peers:
             return
         message = self._make_message()
-        gossipmessage.shrink(message)
+        reserved_bytes = 0
+        if isinstance(message, gossipmessage.RolloutGossipMessage):
+            reserved_bytes = self._rollouts.prepare(message)
+        gossipmessage.shrink(message, reserved_bytes)
         for peer in peers:
+            if isinstance(message, gossipmessage.RolloutGossipMessage):
+                self._rollouts.finish(message, peer.name)
             message.repeated = self._peer_timestamps.get(peer.name, gossipmessage.NO_TIMESTAMP)
             data = msgspec.msgpack.encode(message)
             self._transport.sendto(data, (peer.address, self._ctx.cfg.peer_port))
@@ -254,7 +262,9 @@
         return message
 
     def _message_type(self) -> type[gossipmessage.GossipMessage]:
-        """Return the type to send; where there are no duties, messages have no room for one."""
+        """Return the smallest type that has room for what is to be sent."""
+        if self._rollouts.is_needed:
+            return gossipmessage.RolloutGossipMessage
         if self._ctx.duties is None:
             return gossipmessage.GossipMessage
         return gossipmessage.DutyGossipMessage
--- a/berylrock/daemons/gateway/gossipmessage.py
+++ b/berylrock/daemons/gateway/gossipmessage.py
@@ -17,7 +17,9 @@
     "NO_TIMESTAMP",
     "DutyGossipMessage",
     "GossipMessage",
+    "HeldReport",
     "ReportedCrash",
+    "RolloutGossipMessage",
     "decode_crash",
     "encode_crash",
     "shrink",
@@ -97,7 +99,35 @@
     duty: tuple[str, int, int, int, int] | None = None
 
 
-def shrink(message: GossipMessage) -> None:
+class HeldReport(NamedTuple):
+    """The sessions that stay on the old version in a rollout; the order of fields is the format.
+
+    Attributes:
+      service: The service.
+      target: The version that the rollout introduces.
+      size: Number of the sessions that the sender knows of.
+      checksum: Checksum of these.
+      digests: Some of them that the receiver may lack, one after the other.
+    """
+
+    service: str
+    target: str
+    size: int
+    checksum: int
+    digests: bytes = b""
+
+
+class RolloutGossipMessage(DutyGossipMessage, array_like=True):
+    """The same while a rollout has not passed its first stage.
+
+    Attributes:
+      held: The sessions that stay on the old version, by rollout.
+    """
+
+    held: list[HeldReport] = []
+
+
+def shrink(message: GossipMessage, reserved_bytes: int = 0) -> None:
     """Remove what matters least until a message fits a datagram.
 
     Of the load reports those of the engines with the most work stay, of the crashes the newest, and
@@ -105,30 +135,32 @@
 
     Args:
       message: The message to send; its lists are shortened in place.
+      reserved_bytes: Bytes to leave free for what differs by receiver.
     """
-    if _fits(message):
+    room = MAX_DATAGRAM_BYTES - reserved_bytes
+    if _fits(message, room):
         return
-    _shrink_loads(message, FEW_LOADS)
+    _shrink_loads(message, FEW_LOADS, room)
     lists: tuple[tuple[list[Any], int], ...] = (
         (message.crashes, FEW_CRASHES),
         (message.route_results, FEW_RESULTS),
     )
     for items, kept in lists:
-        while len(items) > kept and not _fits(message):
+        while len(items) > kept and not _fits(message, room):
             del items[max(kept, len(items) // 2) :]
-    _shrink_loads(message, 0)
+    _shrink_loads(message, 0, room)
 
 
-def _shrink_loads(message: GossipMessage, kept: int) -> None:
+def _shrink_loads(message: GossipMessage, kept: int, room: int) -> None:
     """Halve the loads until the message fits; those with the most work come first."""
     count = len(message.packed_loads) // loadreport.ENTRY_BYTES
-    while count > kept and not _fits(message):
+    while count > kept and not _fits(message, room):
         count = max(kept, count // 2)
         message.packed_loads = message.packed_loads[: count * loadreport.ENTRY_BYTES]
 
 
-def _fits(message: GossipMessage) -> bool:
-    return len(msgspec.msgpack.encode(message)) <= MAX_DATAGRAM_BYTES
+def _fits(message: GossipMessage, room: int) -> bool:
+    return len(msgspec.msgpack.encode(message)) <= room
 
 
 def encode_crash(report: crashcases.CrashReport, now: float) -> ReportedCrash:
--- a/berylrock/daemons/gateway/process.py
+++ b/berylrock/daemons/gateway/process.py
@@ -118,8 +118,7 @@
         loop = asyncio.get_running_loop()
         self._conns.close_stale()
         crashes.decide_blame(self._ctx)
-        ttl_s = self._ctx.cfg.bounds.session_ttl_s + 1.0
-        self._ctx.sessions.expire(loop.time(), ttl_s)
+        self._ctx.sessions.active.expire(loop.time(), self._ctx.session_ttl_s)
         for change in self._ctx.engines.expire(loop.time()):
             self._ctx.log.write("engine_changed", engine=change.engine_id, what=change.what)
         self._ctx.load_view.expire(loop.time())
--- /dev/null
+++ b/berylrock/daemons/gateway/rolloutexchange.py
@@ -0,0 +1,112 @@
+"""Tells the other gateways, in the datagrams of ``gossip``, what sessions and rollouts need.
+
+While a rollout has not passed its first stage, each gateway reports the size and checksum of the
+set of sessions that stay on the old version. Only a receiver whose last report differs gets some of
+the sessions themselves.
+"""
+
+import asyncio
+
+from berylrock.core import routing
+from berylrock.daemons.gateway import context, gossipmessage
+from berylrock.ops import activesessions, heldsessions, sessionplacement
+
+__all__ = ["RolloutExchange"]
+
+MAX_HELD_SETS = 4
+# Sets are compared in each broadcast for so long after a rollout has changed, in seconds.
+ANNOUNCED_S = 3.0
+# Sets of held sessions are compared once in so many broadcasts, and in each while rollouts change.
+HELD_ROUNDS = 4
+# Sessions in one datagram.
+MAX_DIGESTS = 48
+DIGEST_BYTES = activesessions.DIGEST_BYTES
+
+
+class RolloutExchange:
+    """Adds the state of rollouts to messages, and applies that of the others."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+        self._reported: dict[tuple[str, heldsessions.RolloutKey], heldsessions.Summary] = {}
+        # The rollouts in force, each with the time at which this gateway saw it change.
+        self._changed: dict[str, tuple[routing.Rollout, float]] = {}
+        self._round = 0
+
+    def begin_round(self) -> None:
+        """Hold the sessions of new rollouts, and choose what the next messages tell."""
+        ctx, now = self._ctx, asyncio.get_running_loop().time()
+        ctx.follow_rollouts()
+        found, before = ctx.rollouts, self._changed
+        self._changed = {
+            name: before[name] if name in before and before[name][0] == item else (item, now)
+            for name, item in found.items()
+        }
+        self._reported = {
+            (peer, key): summary
+            for (peer, key), summary in self._reported.items()
+            if peer in ctx.peers
+            and key.service in found
+            and found[key.service].target == key.target
+        }
+        self._round += 1
+
+    def _list_changed(self) -> list[routing.Rollout]:
+        """Return the rollouts that have changed lately, the latest first."""
+        now = asyncio.get_running_loop().time()
+        found = [item for item, at in self._changed.values() if now - at < ANNOUNCED_S]
+        return sorted(found, key=lambda item: -item.revision)
+
+    def _list_held(self) -> list[heldsessions.RolloutKey]:
+        """Return the rollouts whose held sessions are reported in this round."""
+        if self._round % HELD_ROUNDS and not self._list_changed():
+            return []
+        found = [item for item, _ in self._changed.values()]
+        return [
+            heldsessions.RolloutKey(item.service, item.target)
+            for item in sorted(found, key=lambda item: -item.revision)
+            if sessionplacement.is_open_to_holding(item)
+        ][:MAX_HELD_SETS]
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether the messages of this round have to have room for held sessions."""
+        return bool(self._list_held())
+
+    def prepare(self, message: gossipmessage.RolloutGossipMessage) -> int:
+        """Add what is the same for all receivers.
+
+        Args:
+          message: The message.
+
+        Returns:
+          The bytes to leave free for what ``finish`` adds.
+        """
+        ctx = self._ctx
+        message.held = [
+            gossipmessage.HeldReport(*key, *ctx.sessions.held.summarise(key))
+            for key in self._list_held()
+        ]
+        return MAX_DIGESTS * DIGEST_BYTES if message.held else 0
+
+    def finish(self, message: gossipmessage.RolloutGossipMessage, peer: str) -> None:
+        """Add the sessions that one receiver lacks, in place of those for the receiver before."""
+        left = MAX_DIGESTS
+        for number, report in enumerate(message.held):
+            key = heldsessions.RolloutKey(report.service, report.target)
+            summary = heldsessions.Summary(report.size, report.checksum)
+            digests = b""
+            if self._reported.get((peer, key), heldsessions.Summary()) != summary:
+                digests = self._ctx.sessions.held.take(key, left)
+            left -= len(digests) // DIGEST_BYTES
+            message.held[number] = report._replace(digests=digests)
+
+    def receive(self, message: gossipmessage.RolloutGossipMessage) -> None:
+        """Apply what another gateway reports of held sessions."""
+        ctx, now = self._ctx, asyncio.get_running_loop().time()
+        for report in message.held[:MAX_HELD_SETS]:
+            key = heldsessions.RolloutKey(report.service, report.target)
+            self._reported[message.gateway, key] = heldsessions.Summary(
+                report.size, report.checksum
+            )
+            ctx.sessions.held.merge(key, report.digests, now)
--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -5,6 +5,7 @@
 from berylrock.core import routing
 from berylrock.daemons.gateway import attempt, context, pool
 from berylrock.ops import (
+    activesessions,
     budget,
     enginegroup,
     enginelimits,
@@ -15,7 +16,6 @@
     pacing,
     rollouts,
     selection,
-    sessionversions,
     timeouts,
 )
 
@@ -25,8 +25,6 @@
 # spread evenly over the gateways.
 SLOT_SHARE_FACTOR = 2.0
 MIN_RUNNING_LIMIT = 4
-# Sessions are remembered for so much longer than they live, as clocks and messages take time.
-SESSION_MARGIN_S = 1.0
 
 
 class Dispatcher:
@@ -60,6 +58,9 @@
         self.caller_left = False
         self._current: attempt.Attempt | None = None
         self._is_counted = False
+        self._session = activesessions.make_session(req.service, req.head.session)
+        # Version of the attempt that was recorded as running for the session.
+        self._begun_version: str | None = None
         self._ctx = ctx
         self._conns = conns
         self._req = req
@@ -217,49 +218,56 @@
         allowed = {plan.stable, plan.trial} - {None} - plan.forbidden
         if self.version in allowed:
             return self.version
-        session = req.head.session or req.head.id
-        last = self._last_of_session(now)
-        kept = last.version if last is not None else None
-        sampling_share = ctx.sampling_share(req)
-        choice = rollouts.choose_version(plan, req.service, session, kept, sampling_share)
+        if self._session is not None:
+            choice = ctx.sessions.choose(plan, self._session)
+        else:
+            sampling_share = ctx.sampling_share(req)
+            choice = rollouts.choose_for_request(plan, req.service, req.head.id, sampling_share)
         self.version, self.version_source = choice
         return self.version
 
-    def _last_of_session(self, now: float) -> sessionversions.SessionRun | None:
-        """Return the last request of the session that this gateway has served."""
-        ctx, req = self._ctx, self._req
-        ttl_s = ctx.cfg.bounds.session_ttl_s + SESSION_MARGIN_S
-        return ctx.sessions.find(req.service, req.head.session, now, ttl_s)
-
-    def _log_session_change(self, now: float) -> None:
+    def _begin_session(self) -> None:
+        """Record the version that the request's session runs on, once for each version."""
+        session, version = self._session, self.version
+        if session is None or version is None or version == self._begun_version:
+            return
+        now, plan = asyncio.get_running_loop().time(), self._ctx.plan_for(session.service)
+        if self._begun_version is None:
+            self._log_session_change(session, version, plan, now)
+        else:
+            self._ctx.sessions.active.end(session, now)
+        self._begun_version = version
+        self._ctx.sessions.begin(plan, session, version, now)
+
+    def end_session(self) -> None:
+        """Record that the request has ended, from when on its session lives for some seconds."""
+        if self._session is not None and self._begun_version is not None:
+            self._begun_version = None
+            self._ctx.sessions.active.end(self._session, asyncio.get_running_loop().time())
+
+    def _log_session_change(
+        self, session: activesessions.Session, version: str, plan: rollouts.Plan, now: float
+    ) -> None:
         """Log and count a session that changes its version before it may, or goes back."""
-        ctx, last = self._ctx, self._last_of_session(now)
-        plan = ctx.plan_for(self._req.service)
-        if last is None or last.version == self.version or plan.trial is None:
+        ctx = self._ctx
+        last = ctx.sessions.active.find(session, now, ctx.session_ttl_s)
+        if last is None or not last.version or plan.trial is None or last.version == version:
             return
-        early = self.version == plan.trial and plan.stage == 0
-        if not early and self.version == plan.trial:
+        if version == plan.trial and plan.stage > 0:
             return
+        early = version == plan.trial
         ctx.meter.count("sessions_changed_early" if early else "sessions_changed_back")
         ctx.log.write(
             "session_changed",
             request=self._req.head.id,
             session=self._req.head.session,
             before=last.version,
-            after=self.version,
+            after=version,
             age_s=round(now - last.at, 2),
             source=self.version_source,
             stage=plan.stage,
         )
 
-    def record_session(self) -> None:
-        """Record the version that the request's session runs on."""
-        session, version = self._req.head.session, self.version
-        if session and version is not None:
-            now = asyncio.get_running_loop().time()
-            self._log_session_change(now)
-            self._ctx.sessions.record(self._req.service, session, version, now)
-
     def _log_sent(self, state: enginestate.EngineState, model: str, last_event: int | None) -> None:
         """Log which engine was chosen and the state that the choice was based on.
 
@@ -304,7 +312,7 @@
           The opened response, or why there is none.
         """
         self.attempts_sent += 1
-        self.record_session()
+        self._begin_session()
         current = self._current = attempt.Attempt(
             *(self._ctx, self._conns, self._req, state, model),
             can_fail_over=lambda: self.can_fail_over(model),
--- a/berylrock/daemons/gateway/storesync.py
+++ b/berylrock/daemons/gateway/storesync.py
@@ -127,6 +127,7 @@
                 known = ctx.rollouts.get(rollout.service)
                 ctx.rollouts[rollout.service] = recovery.update(known, rollout)
                 self._log_rollout(ctx.rollouts[rollout.service])
+        ctx.follow_rollouts()
 
     def _is_newer(self, rollout: routing.Rollout) -> bool:
         """Tell whether a rollout is newer than what this gateway's own write returned."""
--- a/berylrock/daemons/gateway/streaming.py
+++ b/berylrock/daemons/gateway/streaming.py
@@ -377,4 +377,3 @@
         else:
             self.record_result(opened, False, timing.first_part_s)
             opened.attempt.end()
-        self.dispatcher.record_session()
--- /dev/null
+++ b/berylrock/ops/heldsessions.py
@@ -0,0 +1,117 @@
+"""Knows the sessions that stay on the old version in the first stage of a rollout.
+
+They are those that began before the stage and that its share would move. All gateways need the same
+set: it only grows, each gateway adds what it knows, and they send each other what is missing. Two
+sets are compared by their size and a checksum.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from berylrock.ops import activesessions
+
+__all__ = ["HeldSessions", "RolloutKey", "Summary"]
+
+# A set of a rollout that this gateway does not know is kept for this long, in seconds: the order
+# may be on its way.
+UNKNOWN_KEPT_S = 10.0
+MAX_UNKNOWN = 8
+DIGEST_BYTES = activesessions.DIGEST_BYTES
+
+
+class RolloutKey(NamedTuple):
+    """A service, and the version that a rollout introduces there."""
+
+    service: str
+    target: str
+
+
+class Summary(NamedTuple):
+    """Size and checksum of a set of sessions; equal sets have equal summaries."""
+
+    size: int = 0
+    checksum: int = 0
+
+
+class _HeldSet:
+    """The sessions of one rollout.
+
+    Attributes:
+      digests: Digests of the sessions, in the order in which they became known.
+      checksum: Exclusive or of the digests.
+      heard_at: When another gateway last reported it, in seconds.
+      next: Position of the next digest to send.
+    """
+
+    def __init__(self) -> None:
+        self.digests: dict[bytes, None] = {}
+        self.checksum = 0
+        self.heard_at = float("-inf")
+        self.next = 0
+
+    def add(self, digest: bytes) -> None:
+        """Add a session, once."""
+        if digest not in self.digests:
+            self.digests[digest] = None
+            self.checksum ^= int.from_bytes(digest, "big")
+
+
+class HeldSessions:
+    """The sets of all rollouts in their first stage."""
+
+    def __init__(self) -> None:
+        self._sets: dict[RolloutKey, _HeldSet] = {}
+
+    def hold(self, key: RolloutKey, digest: bytes) -> None:
+        """Add a session to the set of a rollout."""
+        self._sets.setdefault(key, _HeldSet()).add(digest)
+
+    def merge(self, key: RolloutKey, packed: bytes, now: float) -> bool:
+        """Add the sessions that another gateway reports.
+
+        Args:
+          key: The rollout.
+          packed: The digests, one after the other.
+          now: Time in seconds.
+
+        Returns:
+          Whether they were added; False if there are too many rollouts that this gateway may not
+          know.
+        """
+        if key not in self._sets and len(self._sets) >= MAX_UNKNOWN:
+            return False
+        found = self._sets.setdefault(key, _HeldSet())
+        found.heard_at = now
+        for first in range(0, len(packed) - DIGEST_BYTES + 1, DIGEST_BYTES):
+            found.add(packed[first : first + DIGEST_BYTES])
+        return True
+
+    def holds(self, key: RolloutKey, digest: bytes) -> bool:
+        """Tell whether a session stays on the old version."""
+        found = self._sets.get(key)
+        return found is not None and digest in found.digests
+
+    def summarise(self, key: RolloutKey) -> Summary:
+        """Return the summary of a rollout's set."""
+        found = self._sets.get(key)
+        return Summary() if found is None else Summary(len(found.digests), found.checksum)
+
+    def take(self, key: RolloutKey, count: int) -> bytes:
+        """Return up to ``count`` digests of a rollout's set, one after the other, in turns."""
+        found = self._sets.get(key)
+        if found is None or not found.digests or count <= 0:
+            return b""
+        digests = list(found.digests)
+        first = found.next % len(digests)
+        taken = (digests[first:] + digests[:first])[:count]
+        found.next = (first + len(taken)) % len(digests)
+        return b"".join(taken)
+
+    def retain(self, keys: Iterable[RolloutKey], now: float) -> None:
+        """Drop the sets of other rollouts, unless other gateways reported them lately."""
+        kept = set(keys)
+        self._sets = {
+            key: item
+            for key, item in self._sets.items()
+            if key in kept or now - item.heard_at < UNKNOWN_KEPT_S
+        }
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -4,7 +4,7 @@
 advance it by a conditional write that fails if another gateway has changed it. Within a stage, the
 version of a session depends on nothing but the session, so that every gateway chooses the same one.
 Traffic shares never shrink, and an active session keeps its version during the first half of the
-rollout's time.
+rollout's time (``sessionplacement``).
 
 Scenarios: a version that fails immediately, responds slowly, or fails only under load, only on one
 route or only after some time has to be detected after few requests. A fault that does not show at
@@ -28,9 +28,11 @@
     "Verdict",
     "VersionChoice",
     "majority_version",
-    "choose_version",
+    "choose_for_request",
+    "choose_for_session",
     "decide",
     "find_fault",
+    "find_position",
     "is_held",
     "make_plan",
     "make_schedule",
@@ -41,6 +43,11 @@
 # requests while it is observed. The second one fills the caches of the engines that take over.
 STAGE_SHARES = (0.035, 0.2, 1.0)
 LAST_STAGE = len(STAGE_SHARES) - 1
+# Before the first stage, the gateways tell each other which sessions are active. All sessions stay
+# on the old version until then.
+COLLECTING_STAGE = -1
+COLLECTION_S = 1.0
+MAX_COLLECTION_SHARE = 0.1
 # Sessions may move after half of the time. The margin above one half allows for clock skew.
 FIRST_STAGE_TIME_SHARE = 0.515
 # The exposure is the traffic that the version may receive before the deadline, expressed in seconds
@@ -126,16 +133,17 @@
       stable: The version of the sessions that do not go to ``trial``; None if it is not known.
       trial: The version on trial (the canary), which a running rollout introduces; None if there is
         none.
-      share: Share of the sessions that goes to ``trial``, 0 to 1.
+      share: Share of the sessions and other requests that goes to ``trial``, 0 to 1.
       forbidden: Versions that receive no requests.
-      stage: Stage of the rollout that introduces ``trial``, from 0; -1 without one.
+      stage: Stage of the rollout that introduces ``trial``; ``COLLECTING_STAGE`` before the first
+        one, and without a rollout.
     """
 
     stable: str | None
     trial: str | None
     share: float
     forbidden: frozenset[str]
-    stage: int = -1
+    stage: int = COLLECTING_STAGE
 
 
 class Schedule(NamedTuple):
@@ -199,8 +207,9 @@
         return Plan(rollout.target, None, 0.0, frozenset())
     if rollout.state == "reverted" or vetoed:
         return Plan(stable, None, 0.0, frozenset((rollout.target,)))
-    stage = min(rollout.stage, LAST_STAGE)
-    return Plan(stable, rollout.target, STAGE_SHARES[stage], frozenset(), stage)
+    share = STAGE_SHARES[min(rollout.stage, LAST_STAGE)]
+    stage = COLLECTING_STAGE if rollout.state == "new" else min(rollout.stage, LAST_STAGE)
+    return Plan(stable, rollout.target, share, frozenset(), stage)
 
 
 def _hash_to_unit_interval(service: str, target: str, session: str) -> float:
@@ -213,40 +222,72 @@
 
     Attributes:
       version: The version; None if none is known.
-      source: What decided: ``only`` if no rollout offers another one, ``kept`` for that of the
-        session's last request, ``hash`` for the share of the rollout's stage.
+      source: What decided: ``only`` if no rollout offers another one, ``collecting`` before the
+        first stage, ``held`` for a session that stays on the old version in that stage, ``hash``
+        for the share of the stage.
     """
 
     version: str | None
     source: str
 
 
-def choose_version(
-    plan: Plan, service: str, session: str, kept: str | None, sampling_share: float = 0.0
+def find_position(service: str, target: str, text: str) -> float:
+    """Return the position of a session or request in a rollout, from 0 to below 1.
+
+    Args:
+      service: The service.
+      target: The version that the rollout introduces.
+      text: The session's digest in hexadecimal, or the request's id if it belongs to no session.
+    """
+    return _hash_to_unit_interval(service, target, text)
+
+
+def choose_for_request(
+    plan: Plan, service: str, request_id: str, sampling_share: float = 0.0
 ) -> VersionChoice:
-    """Choose the version for a session's next request.
+    """Choose the version for a request without a session.
 
     Args:
       plan: The service's plan.
       service: The service's name.
-      session: The session's id, or the request's id if it belongs to no session.
-      kept: The version of the session's last request if the session is still active, else None.
-      sampling_share: Share of the requests without a session that goes to the version on trial, if
-        that is more than the plan's.
+      request_id: The request's id.
+      sampling_share: Share of such requests that goes to the version on trial, if that is more than
+        the plan's.
 
     Returns:
       The version and its source.
     """
     if plan.trial is None:
         return VersionChoice(plan.stable, "only")
-    # An active session keeps its version until the last stage.
-    if kept is not None and plan.share < 1.0 and kept in (plan.stable, plan.trial):
-        return VersionChoice(kept, "kept")
-    if _hash_to_unit_interval(service, plan.trial, session) < max(plan.share, sampling_share):
+    if find_position(service, plan.trial, request_id) < max(plan.share, sampling_share):
         return VersionChoice(plan.trial, "hash")
     return VersionChoice(plan.stable or plan.trial, "hash")
 
 
+def choose_for_session(plan: Plan, service: str, digest: bytes, held: bool) -> VersionChoice:
+    """Choose the version for a session's next request.
+
+    Args:
+      plan: The service's plan.
+      service: The service's name.
+      digest: Digest of the session's name.
+      held: Whether the session stays on the old version in the first stage.
+
+    Returns:
+      The version and its source.
+    """
+    if plan.trial is None:
+        return VersionChoice(plan.stable, "only")
+    old = plan.stable or plan.trial
+    if plan.stage == COLLECTING_STAGE:
+        return VersionChoice(old, "collecting")
+    if plan.stage == 0 and held:
+        return VersionChoice(old, "held")
+    if find_position(service, plan.trial, digest.hex()) < plan.share:
+        return VersionChoice(plan.trial, "hash")
+    return VersionChoice(old, "hash")
+
+
 def trial_engines(engine_ids: list[str], plan: Plan) -> frozenset[str]:
     """Select the engines that receive the requests for a version on trial.
 
@@ -385,7 +426,8 @@
             "reverted", rollout.stage, f"{verdict.fault}; errors+slow/answers={verdict.trial}"
         )
     if rollout.state == "new":
-        return Decision("running", 0, "rollout started") if age_s >= 0.0 else None
+        collected_s = min(COLLECTION_S, MAX_COLLECTION_SHARE * rollout.duration_s)
+        return Decision("running", 0, "sessions collected") if age_s >= collected_s else None
     if rollout.stage == 0:
         return Decision("running", 1, "no fault found") if age_s >= due.second else None
     if is_held(rollout, verdict, age_s):
--- a/features/gateway_sessions.feature
+++ b/features/gateway_sessions.feature
@@ -10,3 +10,14 @@
     And a rollout of the models with a distant deadline is under way at all gateways
     And a chat of each of these sessions is sent to the second gateway
     Then at most 3 of these chats run on the new version
+
+  # Guards against sessions that go back from a good version, as a gateway remembers the old one (PINNED).
+  @promise.version @failure.rollout
+  Scenario: A session that has moved in the second stage does not go back at its first gateway
+    Given three gateways that connect to the engines directly
+    When a chat of each of 300 sessions is sent to the first gateway
+    And a rollout of the models with a distant deadline is under way at all gateways
+    And the rollout has come to its second stage at all gateways
+    And a chat of each of these sessions is sent to the second gateway
+    And a chat of each of these sessions is sent to the first gateway again
+    Then some sessions have moved to the new version, and none has gone back
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -1,6 +1,7 @@
 """Steps on sessions whose requests come to several gateways."""
 
 import asyncio
+import signal
 
 from behave import then, when
 from support.platform import fleet
@@ -11,8 +12,15 @@
 CHATS_AT_ONCE = 10
 
 
-def send_chats(context, name, count):
-    """Send a chat of each session to a gateway; each has to be answered."""
+def send_chats(context, name, count, mark=""):
+    """Send a chat of each session to a gateway; each has to be answered.
+
+    Args:
+      context: The scenario's state.
+      name: The gateway.
+      count: Number of sessions.
+      mark: Start of the chats' ids, if the gateway has got chats of these sessions before.
+    """
     item = context.gateway.gateways[name]
     room = asyncio.Semaphore(CHATS_AT_ONCE)
 
@@ -20,7 +28,7 @@
         lines = [
             ("Host", fleet.HOST),
             ("X-Api-Key", fleet.KEY),
-            ("X-Berylrock-Attempt-Id", f"{name}-{number}"),
+            ("X-Berylrock-Attempt-Id", f"{mark}{name}-{number}"),
             *fleet.CHAT_HEADERS,
             ("Session", f"session-{number}"),
         ]
@@ -59,7 +67,8 @@
 @when("a chat of each of these sessions is sent to the second gateway")
 def step_second_chats(context):
     """Let the sessions go on there."""
-    send_chats(context, context.names[1], context.sessions)
+    second = getattr(context, "second", context.names[1])
+    send_chats(context, second, context.sessions)
 
 
 @then("at most {most:d} of these chats run on the new version")
@@ -67,3 +76,52 @@
     """Check how many sessions have changed their version."""
     count = len(context.gateway.runs(f"{SERVICE}-{NEW_VERSION}"))
     assert count <= most, f"{count} of {context.sessions} sessions have changed their version"
+
+
+@when("the rollout has come to its second stage at all gateways")
+def step_second_stage(context):
+    """Write the stage to the store, as any gateway may, and wait until each gateway knows it."""
+    running = context.gateway
+    status = {"state": "in_progress", "target": NEW_VERSION, "stage": 1, "began_ms": 1}
+    running.thread.run(running.store.put("rollouts", SERVICE, status=status))
+    for name in context.names:
+        item = running.gateways[name]
+        running.wait(
+            lambda item=item: "state=running stage=1" in item.log(), f"{name} knows the stage"
+        )
+
+
+@when("a chat of each of these sessions is sent to the first gateway again")
+def step_third_chats(context):
+    """Let the sessions return within their time to live."""
+    context.moved = find_sessions(new_runs(context))
+    send_chats(context, context.names[0], context.sessions, "again-")
+
+
+def new_runs(context):
+    """Return the ids of the chats that ran on the new version."""
+    runs = context.gateway.runs(f"{SERVICE}-{NEW_VERSION}")
+    return {run.headers["x-berylrock-attempt-id"] for run in runs}
+
+
+def find_sessions(ids):
+    """Return the numbers of the sessions of chats."""
+    return {item.rpartition("-")[2] for item in ids}
+
+
+@then("some sessions have moved to the new version, and none has gone back")
+def step_none_back(context):
+    """Compare the sessions' last chats with the ones before."""
+    last = find_sessions(item for item in new_runs(context) if item.startswith("again-"))
+    assert len(context.moved) > 30, len(context.moved)
+    assert context.moved <= last, f"{len(context.moved - last)} of {len(context.moved)} went back"
+
+
+@when("the first gateway is stopped as planned")
+def step_stop_first(context):
+    """Send it SIGTERM and wait for its end."""
+    item = context.gateway.gateways[context.names[0]]
+    item.popen.send_signal(signal.SIGTERM)
+    item.popen.wait(15.0)
+    del context.names[0]
+    context.second = context.names[0]
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -6,7 +6,7 @@
 from support.gateway_data import make_engine, make_route
 
 from berylrock.core import routing
-from berylrock.ops import baselines, rollouts, routecascade, timeouts, trials
+from berylrock.ops import activesessions, baselines, rollouts, routecascade, timeouts, trials
 
 CANARY_SHARE, CANARY_MARGIN = 0.15, 30
 SHARED_MODEL = baselines.PaceKey("service", "model", "")
@@ -153,41 +153,48 @@
     assert context.state == "completed" and context.age < 24.0, (context.state, context.age)
 
 
+SESSIONS = [activesessions.make_session("models", f"s{number}") for number in range(500)]
+COLLECTING = rollouts.COLLECTING_STAGE
+
+
+def choose(stage, session, held=False):
+    """Return the version that a session gets in a stage."""
+    share = rollouts.STAGE_SHARES[max(0, stage)]
+    plan = rollouts.Plan("v1", "v2", share, frozenset(), stage)
+    return rollouts.choose_for_session(plan, "models", session.digest, held).version
+
+
 @then("an active session keeps its version in the first stages")
 def step_session_keeps_version(context):
-    """Check sessions on either version."""
-    for share in rollouts.STAGE_SHARES[:-1]:
-        plan = rollouts.Plan("v1", "v2", share, frozenset())
-        for number in range(200):
-            for kept in ("v1", "v2"):
-                assert rollouts.choose_version(plan, "models", f"s{number}", kept).version == kept
+    """Check sessions that began before the rollout, and those that begin in its first stage."""
+    for session in SESSIONS:
+        before = {choose(COLLECTING, session), choose(0, session, held=True)}
+        assert before == {"v1"}, before
+    begun = [choose(0, session) for session in SESSIONS]
+    assert 0 < begun.count("v2") < len(begun)
 
 
 @then("every gateway chooses the same version for a new session")
 def step_deterministic(context):
     """Check that the choice depends on nothing but session and stage."""
-    plan = rollouts.Plan("v1", "v2", 0.5, frozenset())
-    first = [rollouts.choose_version(plan, "models", f"s{n}", None).version for n in range(100)]
-    assert first == [
-        rollouts.choose_version(plan, "models", f"s{n}", None).version for n in range(100)
-    ]
-    assert 30 < first.count("v2") < 70
+    for stage in (COLLECTING, *range(len(rollouts.STAGE_SHARES))):
+        first = [choose(stage, session) for session in SESSIONS]
+        assert first == [choose(stage, session) for session in SESSIONS]
+    later = [choose(1, session, held=True) for session in SESSIONS]
+    assert later == [choose(1, session) for session in SESSIONS]
+    share = later.count("v2") / len(later)
+    assert abs(share - rollouts.STAGE_SHARES[1]) < 0.06, share
 
 
 @then("shares only grow from stage to stage")
 def step_shares_grow(context):
     """Check that a session on the new version stays there."""
     moved = set()
-    for share in rollouts.STAGE_SHARES:
-        plan = rollouts.Plan("v1", "v2", share, frozenset())
-        now = {
-            n
-            for n in range(500)
-            if rollouts.choose_version(plan, "m", f"s{n}", None).version == "v2"
-        }
+    for stage in (COLLECTING, *range(len(rollouts.STAGE_SHARES))):
+        now = {session for session in SESSIONS if choose(stage, session) == "v2"}
         assert moved <= now
         moved = now
-    assert len(moved) == 500
+    assert len(moved) == len(SESSIONS)
 
 
 @then("engines of a version that was rolled back or not ordered receive no requests")
@@ -201,11 +208,16 @@
         rollouts.make_plan(None, engines, False),
     ):
         chosen = {
-            rollouts.choose_version(plan, "models", f"s{n}", None).version for n in range(100)
+            rollouts.choose_for_session(plan, "models", session.digest, False).version
+            for session in SESSIONS
+        }
+        chosen |= {
+            rollouts.choose_for_request(plan, "models", str(n), 0.5).version for n in range(100)
         }
         assert chosen == {"v1"}
     done = rollouts.make_plan(rollout._replace(state="completed"), engines, False)
-    assert rollouts.choose_version(done, "models", "s", "v1").version == "v2"
+    chosen = rollouts.choose_for_session(done, "models", SESSIONS[0].digest, True)
+    assert chosen.version == "v2", chosen
 
 
 @then("an answer with high confidence is forwarded and one with low confidence is not")
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -3,6 +3,27 @@
 from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
+    Mutant(
+        "held-alone",
+        "daemons/gateway/rolloutexchange.py",
+        "            ctx.sessions.held.merge(key, report.digests, now)\n",
+        "",
+        "A session that comes to another gateway early in a rollout keeps its version",
+    ),
+    Mutant(
+        "held-unknown-at-order",
+        "ops/sessionplacement.py",
+        "        for key in keys - self._followed:\n",
+        "        for key in ():\n",
+        "A session that comes to another gateway early in a rollout keeps its version",
+    ),
+    Mutant(
+        "no-collecting",
+        "ops/rollouts.py",
+        "    if plan.stage == COLLECTING_STAGE:\n",
+        "    if False:\n",
+        "A session keeps its version through the first half of a rollout",
+    ),
     Mutant(
         "compare-all",
         "ops/selection.py",
