Go by a later stage of a rollout that other gateways report (PINNED)

Change: for three seconds after each change of a rollout the datagrams have its record, and a gateway goes by the later of that and its own, by the store's revision. A report counts for nothing across a restore of the store, and one of an unknown order only if it is later than what this gateway has read. Only choices of versions follow reports; writes to the store still have its own revision as their condition. Mutants: heard-ignored, heard-deleted.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -28,6 +28,7 @@
     evacuations,
     evidence,
     freshness,
+    heardrollouts,
     latency,
     loadview,
     mirrors,
@@ -101,6 +102,7 @@
         event loop's clock.
       peer_freshness: When the store last confirmed the views of the other gateways.
       sessions: The versions that sessions run on.
+      heard_rollouts: Rollouts as other gateways report them.
       strikes: Requests that were running on engines when those crashed.
       blame: Prompt parts that may crash engines.
       budgets: Retry budgets by service.
@@ -149,6 +151,7 @@
         self.peers_restored_at = -math.inf
         self.peer_freshness = readiness.PeerFreshness()
         self.sessions = sessionplacement.SessionPlacement()
+        self.heard_rollouts = heardrollouts.HeardRollouts()
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
         self.budgets: dict[str, budget.WindowBudget] = {}
@@ -308,14 +311,26 @@
         """Time after its last request for which a session is active, in seconds."""
         return self.cfg.bounds.session_ttl_s + SESSION_MARGIN_S
 
+    def rollout_in_force(self, service: str) -> routing.Rollout | None:
+        """Return a service's rollout, also if only other gateways know of it yet."""
+        revision = self.mirrors[names.ROLLOUTS_KIND].revision
+        return self.heard_rollouts.choose_later(service, self.rollouts.get(service), revision)
+
+    def rollouts_in_force(self) -> dict[str, routing.Rollout]:
+        """Return the rollouts by service, also those that only other gateways know of yet."""
+        services = self.rollouts.keys() | self.heard_rollouts.services
+        found = {name: self.rollout_in_force(name) for name in services}
+        return {name: item for name, item in found.items() if item is not None}
+
     def follow_rollouts(self) -> None:
         """Hold the sessions that new rollouts may not move yet; forget what has passed."""
         now = asyncio.get_running_loop().time()
-        self.sessions.follow(self.rollouts.values(), now, self.session_ttl_s)
+        self.heard_rollouts.expire(now)
+        self.sessions.follow(self.rollouts_in_force().values(), now, self.session_ttl_s)
 
     def plan_for(self, service: str) -> rollouts.Plan:
         """Return which versions of a service may get requests now."""
-        rollout = self.rollouts.get(service)
+        rollout = self.rollout_in_force(service)
         vetoed = rollout is not None and self.is_vetoed(service, rollout.target)
         basis = _PlanBasis(self.engines.generation, rollout, vetoed)
         known = self._plans.get(service)
--- a/berylrock/daemons/gateway/gossipmessage.py
+++ b/berylrock/daemons/gateway/gossipmessage.py
@@ -118,12 +118,14 @@
 
 
 class RolloutGossipMessage(DutyGossipMessage, array_like=True):
-    """The same while a rollout has not passed its first stage.
+    """The same while there are rollouts.
 
     Attributes:
+      rollouts: The rollouts that have changed lately, the latest first.
       held: The sessions that stay on the old version, by rollout.
     """
 
+    rollouts: list[routing.Rollout] = []
     held: list[HeldReport] = []
 
 
--- a/berylrock/daemons/gateway/rolloutexchange.py
+++ b/berylrock/daemons/gateway/rolloutexchange.py
@@ -2,7 +2,8 @@
 
 While a rollout has not passed its first stage, each gateway reports the size and checksum of the
 set of sessions that stay on the old version. Only a receiver whose last report differs gets some of
-the sessions themselves.
+the sessions themselves. Changes of rollouts are told for some seconds, for gateways that learn of
+them late from the store.
 """
 
 import asyncio
@@ -13,8 +14,8 @@
 
 __all__ = ["RolloutExchange"]
 
-MAX_HELD_SETS = 4
-# Sets are compared in each broadcast for so long after a rollout has changed, in seconds.
+MAX_ROLLOUTS, MAX_HELD_SETS = 4, 4
+# A rollout is told of for so long after each of its changes, in seconds.
 ANNOUNCED_S = 3.0
 # Sets of held sessions are compared once in so many broadcasts, and in each while rollouts change.
 HELD_ROUNDS = 4
@@ -37,7 +38,7 @@
         """Hold the sessions of new rollouts, and choose what the next messages tell."""
         ctx, now = self._ctx, asyncio.get_running_loop().time()
         ctx.follow_rollouts()
-        found, before = ctx.rollouts, self._changed
+        found, before = ctx.rollouts_in_force(), self._changed
         self._changed = {
             name: before[name] if name in before and before[name][0] == item else (item, now)
             for name, item in found.items()
@@ -55,7 +56,7 @@
         """Return the rollouts that have changed lately, the latest first."""
         now = asyncio.get_running_loop().time()
         found = [item for item, at in self._changed.values() if now - at < ANNOUNCED_S]
-        return sorted(found, key=lambda item: -item.revision)
+        return sorted(found, key=lambda item: -item.revision)[:MAX_ROLLOUTS]
 
     def _list_held(self) -> list[heldsessions.RolloutKey]:
         """Return the rollouts whose held sessions are reported in this round."""
@@ -70,8 +71,8 @@
 
     @property
     def is_needed(self) -> bool:
-        """Whether the messages of this round have to have room for held sessions."""
-        return bool(self._list_held())
+        """Whether the messages of this round have to have room for rollouts and held sessions."""
+        return bool(self._list_changed() or self._list_held())
 
     def prepare(self, message: gossipmessage.RolloutGossipMessage) -> int:
         """Add what is the same for all receivers.
@@ -83,6 +84,7 @@
           The bytes to leave free for what ``finish`` adds.
         """
         ctx = self._ctx
+        message.rollouts = self._list_changed()
         message.held = [
             gossipmessage.HeldReport(*key, *ctx.sessions.held.summarise(key))
             for key in self._list_held()
@@ -102,11 +104,30 @@
             message.held[number] = report._replace(digests=digests)
 
     def receive(self, message: gossipmessage.RolloutGossipMessage) -> None:
-        """Apply what another gateway reports of held sessions."""
+        """Apply what another gateway reports of rollouts and held sessions."""
         ctx, now = self._ctx, asyncio.get_running_loop().time()
+        for rollout in message.rollouts[:MAX_ROLLOUTS]:
+            self._receive_rollout(rollout, message.gateway, now)
         for report in message.held[:MAX_HELD_SETS]:
             key = heldsessions.RolloutKey(report.service, report.target)
             self._reported[message.gateway, key] = heldsessions.Summary(
                 report.size, report.checksum
             )
             ctx.sessions.held.merge(key, report.digests, now)
+
+    def _receive_rollout(self, rollout: routing.Rollout, gateway: str, now: float) -> None:
+        """Record a rollout that another gateway knows; log it where the store's is older."""
+        ctx = self._ctx
+        before = ctx.rollout_in_force(rollout.service)
+        ctx.heard_rollouts.record(rollout, now)
+        if ctx.rollout_in_force(rollout.service) != before:
+            ctx.follow_rollouts()
+            ctx.meter.count("rollouts_heard")
+            ctx.log.write(
+                "rollout_heard",
+                service=rollout.service,
+                target=rollout.target,
+                state=rollout.state,
+                stage=rollout.stage,
+                by=gateway,
+            )
--- a/features/gateway_sessions.feature
+++ b/features/gateway_sessions.feature
@@ -21,3 +21,10 @@
     And a chat of each of these sessions is sent to the second gateway
     And a chat of each of these sessions is sent to the first gateway again
     Then some sessions have moved to the new version, and none has gone back
+
+  # Guards against sessions that go back at a gateway which learns of a stage late (PINNED).
+  Scenario: A gateway that the store tells late goes by the stage that other gateways report
+    Given a gateway that knows a rollout in its second stage from the store
+    When another gateway reports the last stage
+    Then every session runs on the new version there
+    And a report of an earlier order, of the store before it came back, or of a deleted order counts for nothing
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -3,6 +3,20 @@
 from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
+    Mutant(
+        "heard-ignored",
+        "ops/heardrollouts.py",
+        "return reported if same_era and since < reported.revision else known",
+        "return known",
+        "A gateway that the store tells late goes by the stage that other gateways report",
+    ),
+    Mutant(
+        "heard-deleted",
+        "ops/heardrollouts.py",
+        "known.revision if known is not None else revision",
+        "known.revision if known is not None else heard.rollout.revision - 1",
+        "A gateway that the store tells late goes by the stage that other gateways report",
+    ),
     Mutant(
         "held-alone",
         "daemons/gateway/rolloutexchange.py",
