--- a/berylrock/ops/rolloutrecovery.py
+++ b/berylrock/ops/rolloutrecovery.py
@@ -58,8 +58,11 @@
           listed: The record.
 
         Returns:
-          The record, with the known progress if the store has lost that.
+          The record, with the known progress if the store has lost that; the known rollout if the
+          record is older, as when a list was made before this gateway's own write.
         """
+        if known is not None and self._is_older(known, listed):
+            return known
         if known is None or known.target != listed.target or not self._is_behind(known, listed):
             self.unwritten.pop(listed.service, None)
             return listed
@@ -67,6 +70,11 @@
         self.unwritten[listed.service] = kept
         return kept
 
+    @staticmethod
+    def _is_older(known: routing.Rollout, listed: routing.Rollout) -> bool:
+        same_era = stored.find_era(known.revision) == stored.find_era(listed.revision)
+        return same_era and listed.revision < known.revision
+
     def _is_behind(self, known: routing.Rollout, listed: routing.Rollout) -> bool:
         restored = stored.find_era(known.revision) < stored.find_era(listed.revision)
         may_be_lost = restored or listed.service in self.unwritten
