Let entry processes agree on sessions that they served while the store was out (PINNED)

In the project's own interface each entry process kept, for as long as it lived, the version that it had chosen by itself for a session while the object API was out; two of them sent the requests of one session to two versions for good. Now such a version is known not to be stored, and one request a second tries again; what is stored then holds for all. During the outage itself they may still differ. Mutants: older-list, outage-version-kept.

--- a/berylrock/ops/sessions.py
+++ b/berylrock/ops/sessions.py
@@ -4,10 +4,12 @@
 only a session name, the version is stored by conditional create when the session starts.
 """
 
+import asyncio
 import base64
 import hashlib
 import hmac
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -22,6 +24,8 @@
 MAC_BYTES = 12
 BUCKETS = 10_000
 MAX_STORE_ATTEMPTS = 4
+# While the object API is out, one request in this time tries it again, in seconds.
+RETRY_INTERVAL_S = 1.0
 
 
 class _Pin(msgspec.Struct):
@@ -68,12 +72,20 @@
     return session, data.parse_version_id(text)
 
 
+class _Cached(NamedTuple):
+    """A session's version, and whether it is the one that all processes read from the store."""
+
+    version: str
+    stored: bool
+
+
 class SessionTable:
     """Stores and caches the versions of sessions whose callers send no token."""
 
     def __init__(self, objects: interfaces.ObjectStore) -> None:
         self._objects = objects
-        self._cache: dict[str, str] = {}
+        self._cache: dict[str, _Cached] = {}
+        self._retry_at = float("-inf")
 
     async def pin(
         self,
@@ -92,17 +104,26 @@
 
         Returns:
           The session's version. While the object API is unavailable, this is ``wanted`` for a
-          session that is not cached.
+          session that is not cached; other processes may choose another one until it is back.
         """
         name = hashlib.sha256(f"{organisation}\0{session}".encode()).hexdigest()
-        cached = data.parse_version_id(self._cache.get(name, ""))
-        if cached is not None and is_usable(cached):
-            return cached
+        cached = self._cache.get(name, _Cached("", False))
+        known = data.parse_version_id(cached.version)
+        if known is not None and is_usable(known):
+            if cached.stored:
+                return known
+            wanted = known
+        now = asyncio.get_running_loop().time()
+        if now < self._retry_at:
+            self._remember(name, _Cached(str(wanted), False))
+            return wanted
         try:
             version = await self._store(name, wanted, is_usable)
         except errors.StoreUnavailable:
-            version = wanted
-        self._remember(name, str(version))
+            self._retry_at = now + RETRY_INTERVAL_S
+            self._remember(name, _Cached(str(wanted), False))
+            return wanted
+        self._remember(name, _Cached(str(version), True))
         return version
 
     async def _store(
@@ -128,7 +149,7 @@
             condition = stored.version
         return wanted
 
-    def _remember(self, name: str, version: str) -> None:
-        self._cache[name] = version
+    def _remember(self, name: str, cached: _Cached) -> None:
+        self._cache[name] = cached
         if len(self._cache) > MAX_CACHED:
             del self._cache[next(iter(self._cache))]
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -3,6 +3,20 @@
 from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
+    Mutant(
+        "older-list",
+        "ops/rolloutrecovery.py",
+        "return same_era and listed.revision < known.revision",
+        "return False",
+        "A list that the store made before a gateway's own write does not take a rollout back",
+    ),
+    Mutant(
+        "outage-version-kept",
+        "ops/sessions.py",
+        "            if cached.stored:\n",
+        "            if True:\n",
+        "Entry processes agree on the version of a session that they served while the store was out",
+    ),
     Mutant(
         "no-handover",
         "daemons/gateway/rolloutexchange.py",
