Take no callers before the rollouts and evacuations have been read (PINNED)

A gateway that starts knew the configuration and the engines, but perhaps no rollout yet; it then took the version of most engines, which beside a lost zone may be the new one. Now a gateway is informed once it has read all watched kinds. The scenario failed before (ready at once). Mutant: informed-without-rollouts.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -182,7 +182,10 @@
     @property
     def informed(self) -> bool:
         """Whether enough has been read since the start to serve requests."""
-        return self.table is not None and self.engines_known and self.peers_asked
+        if self.table is None or not self.engines_known or not self.peers_asked:
+            return False
+        # Without rollouts and evacuations, engines might be used that must not be.
+        return all(self.mirrors[kind].revision > 0 for kind in names.WATCHED_KINDS)
 
     @property
     def ready(self) -> bool:
--- a/features/session_memory.feature
+++ b/features/session_memory.feature
@@ -9,8 +9,14 @@
 
   # Guards against two versions of a session, each remembered by one process since an outage (PINNED).
   @promise.session @failure.store_outage
-  Scenario: Entry processes agree on the version of a session that they served while the store was out
+  Scenario: Entry processes agree on the version of a session that began in an outage
     Given two entry processes without the store, which choose different versions for a session
     When the store is back and the session's requests go on
     Then both processes send the session to one version from then on
     And while the store is out, one request a second waits for it, not each
+
+  # Guards against versions that are chosen without the rollouts, by the number of engines (PINNED, EXPOSURE).
+  @promise.version @failure.silent
+  Scenario: A gateway that has not read the rollouts yet takes no callers
+    Given a gateway that starts while the store answers no calls about rollouts
+    Then it is not ready, and refuses a read as not run, until the store answers them
--- a/features/steps/session_memory_steps.py
+++ b/features/steps/session_memory_steps.py
@@ -1,9 +1,11 @@
-"""Steps on what single processes remember of sessions and rollouts, without a network."""
+"""Steps on what single processes remember of sessions and rollouts."""
 
 import asyncio
+import time
 
 from behave import given, then, when
 from support import virtualtime
+from support.platform import fleet
 
 from berylrock.adapters import interfaces
 from berylrock.core import data, errors, routing, stored
@@ -11,6 +13,8 @@
 
 NEW, OLD = data.VersionId("model", "v2"), data.VersionId("model", "v1")
 OUTAGE_S, REQUEST_INTERVAL_S = 4.0, 0.1
+# Time in which a gateway that has read everything else becomes ready.
+KNOWN_S = 1.0
 
 
 class PinStore:
@@ -113,3 +117,27 @@
     """Check the calls of both processes during the outage."""
     most = len(context.tables) * (OUTAGE_S + 1.0)
     assert context.calls <= most, context.calls
+
+
+@given("a gateway that starts while the store answers no calls about rollouts")
+def step_start_without_rollouts(context):
+    """Start it, and wait until it knows the configuration and the engines."""
+    context.gateway = fleet.GatewayFleet(context.root)
+    context.cleanups.append(context.gateway.stop)
+    running = context.gateway
+    running.thread.call(running.store.silent_kinds.add, "rollouts")
+    running.start(ready=False)
+    running.wait(lambda: "event=config_in_force" in running.log(), "it has the configuration")
+    running.wait(lambda: "event=engine_changed" in running.log(), "it has the engines")
+
+
+@then("it is not ready, and refuses a read as not run, until the store answers them")
+def step_not_ready_until(context):
+    """Check the readiness page and a read before and after."""
+    running = context.gateway
+    time.sleep(KNOWN_S)
+    assert running.get_readiness() == 503
+    assert running.send().status == 503
+    running.thread.call(running.store.silent_kinds.discard, "rollouts")
+    running.wait(lambda: running.get_readiness() == 200, "it is ready")
+    assert running.send().status == 200
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -3,6 +3,13 @@
 from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
+    Mutant(
+        "informed-without-rollouts",
+        "daemons/gateway/context.py",
+        "return all(self.mirrors[kind].revision > 0 for kind in names.WATCHED_KINDS)",
+        "return True",
+        "A gateway that has not read the rollouts yet takes no callers",
+    ),
     Mutant(
         "older-list",
         "ops/rolloutrecovery.py",
@@ -15,7 +22,7 @@
         "ops/sessions.py",
         "            if cached.stored:\n",
         "            if True:\n",
-        "Entry processes agree on the version of a session that they served while the store was out",
+        "Entry processes agree on the version of a session that began in an outage",
     ),
     Mutant(
         "no-handover",
