--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -38,7 +38,8 @@
       attempts_sent: All attempts.
       attempts_arrived: Attempts that may have reached an engine; all but the first are retries.
       version: Version that the request is to run on; None before it is chosen.
-      version_source: What decided the version, as in ``rollouts.VersionChoice``.
+      version_choice: The version as it was chosen, and what decided it.
+      version_stage: The stage of the rollout at that time.
       last_reason: Why the last attempt failed; empty if none has.
       caller_left: Whether the caller has disconnected, so that no further attempt is made.
     """
@@ -54,7 +55,8 @@
         self.attempts_arrived = 0
         self.last_reason = ""
         self.version: str | None = None
-        self.version_source = ""
+        self.version_choice = rollouts.VersionChoice(None, "")
+        self.version_stage = rollouts.COLLECTING_STAGE
         self.caller_left = False
         self._current: attempt.Attempt | None = None
         self._is_counted = False
@@ -219,11 +221,11 @@
         if self.version in allowed:
             return self.version
         if self._session is not None:
-            choice = ctx.sessions.choose(plan, self._session)
+            choice = ctx.sessions.choose(plan, self._session, now)
         else:
             sampling_share = ctx.sampling_share(req)
             choice = rollouts.choose_for_request(plan, req.service, req.head.id, sampling_share)
-        self.version, self.version_source = choice
+        self.version, self.version_choice, self.version_stage = choice.version, choice, plan.stage
         return self.version
 
     def _begin_session(self) -> None:
@@ -264,7 +266,7 @@
             before=last.version,
             after=version,
             age_s=round(now - last.at, 2),
-            source=self.version_source,
+            source=self.version_choice.source,
             stage=plan.stage,
         )
 
@@ -282,8 +284,8 @@
             engine=state.engine.id,
             address=state.engine.host_port,
             version=state.engine.version,
-            version_source=self.version_source,
-            stage=ctx.plan_for(self._req.service).stage,
+            version_source=self.version_choice.source,
+            stage=self.version_stage,
             model=model,
             after_event=last_event,
             running=f"{state.running}+{others.running}",
--- a/berylrock/ops/heldsessions.py
+++ b/berylrock/ops/heldsessions.py
@@ -10,7 +10,7 @@
 
 from berylrock.ops import activesessions
 
-__all__ = ["HeldSessions", "RolloutKey", "Summary"]
+__all__ = ["HeldSessions", "Hold", "RolloutKey", "Summary"]
 
 # A set of a rollout that this gateway does not know is kept for this long, in seconds: the order
 # may be on its way.
@@ -33,26 +33,38 @@
     checksum: int = 0
 
 
+class Hold(NamedTuple):
+    """How this gateway knows that a session stays on the old version.
+
+    Attributes:
+      since: When it first knew, in seconds.
+      told: Whether another gateway told it.
+    """
+
+    since: float
+    told: bool
+
+
 class _HeldSet:
     """The sessions of one rollout.
 
     Attributes:
-      digests: Digests of the sessions, in the order in which they became known.
+      holds: The sessions by their digests, in the order in which they became known.
       checksum: Exclusive or of the digests.
       heard_at: When another gateway last reported it, in seconds.
       next: Position of the next digest to send.
     """
 
     def __init__(self) -> None:
-        self.digests: dict[bytes, None] = {}
+        self.holds: dict[bytes, Hold] = {}
         self.checksum = 0
         self.heard_at = float("-inf")
         self.next = 0
 
-    def add(self, digest: bytes) -> None:
+    def add(self, digest: bytes, hold: Hold) -> None:
         """Add a session, once."""
-        if digest not in self.digests:
-            self.digests[digest] = None
+        if digest not in self.holds:
+            self.holds[digest] = hold
             self.checksum ^= int.from_bytes(digest, "big")
 
 
@@ -62,9 +74,9 @@
     def __init__(self) -> None:
         self._sets: dict[RolloutKey, _HeldSet] = {}
 
-    def hold(self, key: RolloutKey, digest: bytes) -> None:
-        """Add a session to the set of a rollout."""
-        self._sets.setdefault(key, _HeldSet()).add(digest)
+    def hold(self, key: RolloutKey, digest: bytes, now: float) -> None:
+        """Add a session that this gateway knows by itself to the set of a rollout."""
+        self._sets.setdefault(key, _HeldSet()).add(digest, Hold(now, False))
 
     def merge(self, key: RolloutKey, packed: bytes, now: float) -> bool:
         """Add the sessions that another gateway reports.
@@ -83,25 +95,25 @@
         found = self._sets.setdefault(key, _HeldSet())
         found.heard_at = now
         for first in range(0, len(packed) - DIGEST_BYTES + 1, DIGEST_BYTES):
-            found.add(packed[first : first + DIGEST_BYTES])
+            found.add(packed[first : first + DIGEST_BYTES], Hold(now, True))
         return True
 
-    def holds(self, key: RolloutKey, digest: bytes) -> bool:
-        """Tell whether a session stays on the old version."""
+    def find(self, key: RolloutKey, digest: bytes) -> Hold | None:
+        """Return how it is known that a session stays on the old version; None if it does not."""
         found = self._sets.get(key)
-        return found is not None and digest in found.digests
+        return found.holds.get(digest) if found is not None else None
 
     def summarise(self, key: RolloutKey) -> Summary:
         """Return the summary of a rollout's set."""
         found = self._sets.get(key)
-        return Summary() if found is None else Summary(len(found.digests), found.checksum)
+        return Summary() if found is None else Summary(len(found.holds), found.checksum)
 
     def take(self, key: RolloutKey, count: int) -> bytes:
         """Return up to ``count`` digests of a rollout's set, one after the other, in turns."""
         found = self._sets.get(key)
-        if found is None or not found.digests or count <= 0:
+        if found is None or not found.holds or count <= 0:
             return b""
-        digests = list(found.digests)
+        digests = list(found.holds)
         first = found.next % len(digests)
         taken = (digests[first:] + digests[:first])[:count]
         found.next = (first + len(taken)) % len(digests)
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -65,6 +65,9 @@
 # A rollout waits for evidence until so many times its duration after the order.
 MAX_HELD_DURATIONS = 3.0
 
+# What decides the version of a request, as the log says it.
+ONLY, COLLECTING, HELD, TOLD, HASH = "only", "collecting", "held", "told", "hash"
+
 MIN_ERRORS = 5
 MIN_ERROR_RATE = 0.06
 # A failing engine or connection causes errors in every version. A bad version has several times as
@@ -222,13 +225,16 @@
 
     Attributes:
       version: The version; None if none is known.
-      source: What decided: ``only`` if no rollout offers another one, ``collecting`` before the
-        first stage, ``held`` for a session that stays on the old version in that stage, ``hash``
-        for the share of the stage.
+      source: What decided: ``ONLY`` if no rollout offers another one, ``COLLECTING`` before the
+        first stage, ``HELD`` for a session that stays on the old version in that stage, ``TOLD`` if
+        this gateway knows so from another one, ``HASH`` for the share of the stage.
+      age_s: For how long this gateway has known that the session stays, in seconds; 0 for other
+        sources.
     """
 
     version: str | None
     source: str
+    age_s: float = 0.0
 
 
 def find_position(service: str, target: str, text: str) -> float:
@@ -258,10 +264,10 @@
       The version and its source.
     """
     if plan.trial is None:
-        return VersionChoice(plan.stable, "only")
+        return VersionChoice(plan.stable, ONLY)
     if find_position(service, plan.trial, request_id) < max(plan.share, sampling_share):
-        return VersionChoice(plan.trial, "hash")
-    return VersionChoice(plan.stable or plan.trial, "hash")
+        return VersionChoice(plan.trial, HASH)
+    return VersionChoice(plan.stable or plan.trial, HASH)
 
 
 def choose_for_session(plan: Plan, service: str, digest: bytes, held: bool) -> VersionChoice:
@@ -277,15 +283,15 @@
       The version and its source.
     """
     if plan.trial is None:
-        return VersionChoice(plan.stable, "only")
+        return VersionChoice(plan.stable, ONLY)
     old = plan.stable or plan.trial
     if plan.stage == COLLECTING_STAGE:
-        return VersionChoice(old, "collecting")
+        return VersionChoice(old, COLLECTING)
     if plan.stage == 0 and held:
-        return VersionChoice(old, "held")
+        return VersionChoice(old, HELD)
     if find_position(service, plan.trial, digest.hex()) < plan.share:
-        return VersionChoice(plan.trial, "hash")
-    return VersionChoice(old, "hash")
+        return VersionChoice(plan.trial, HASH)
+    return VersionChoice(old, HASH)
 
 
 def trial_engines(engine_ids: list[str], plan: Plan) -> frozenset[str]:
--- a/berylrock/ops/sessionplacement.py
+++ b/berylrock/ops/sessionplacement.py
@@ -59,19 +59,23 @@
         for key in keys - self._followed:
             for session, use in self.active.list(now, ttl_s):
                 if session.service == key.service and use.version != key.target:
-                    self._hold_if_covered(key, session)
+                    self._hold_if_covered(key, session, now)
         self._followed = keys
         self.held.retain(keys, now)
 
     def choose(
-        self, plan: rollouts.Plan, session: activesessions.Session
+        self, plan: rollouts.Plan, session: activesessions.Session, now: float
     ) -> rollouts.VersionChoice:
         """Choose the version for a session's next request."""
         service, digest = session
-        held = False
+        hold = None
         if plan.trial is not None and plan.stage <= 0:
-            held = self.held.holds(heldsessions.RolloutKey(service, plan.trial), digest)
-        return rollouts.choose_for_session(plan, service, digest, held)
+            hold = self.held.find(heldsessions.RolloutKey(service, plan.trial), digest)
+        choice = rollouts.choose_for_session(plan, service, digest, hold is not None)
+        if hold is None or choice.source != rollouts.HELD:
+            return choice
+        source = rollouts.TOLD if hold.told else rollouts.HELD
+        return choice._replace(source=source, age_s=now - hold.since)
 
     def begin(
         self, plan: rollouts.Plan, session: activesessions.Session, version: str, now: float
@@ -84,11 +88,11 @@
         self.active.begin(session, version, now)
         if plan.trial is not None and plan.stage <= 0 and version != plan.trial:
             key = heldsessions.RolloutKey(session.service, plan.trial)
-            self._hold_if_covered(key, session)
+            self._hold_if_covered(key, session, now)
 
     def _hold_if_covered(
-        self, key: heldsessions.RolloutKey, session: activesessions.Session
+        self, key: heldsessions.RolloutKey, session: activesessions.Session, now: float
     ) -> None:
         position = rollouts.find_position(key.service, key.target, session.digest.hex())
         if position < rollouts.STAGE_SHARES[0]:
-            self.held.hold(key, session.digest)
+            self.held.hold(key, session.digest, now)
--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -25,6 +25,7 @@
         "log_dropped",
         "prompt_part_blamed",
         "rollout_decided",
+        "rollout_heard",
         "rollout_seen",
         "started",
         "stop_requested",
@@ -130,6 +131,32 @@
 }
 
 
+# What decided a request's version, by the field ``version_source``.
+VERSION_SOURCES = {
+    "only": "no other version was offered",
+    "collecting": "a rollout was ordered and had not begun its first stage",
+    "held": "its session had begun before the rollout, as this gateway knew",
+    "told": "its session had begun before the rollout, as another gateway told",
+    "hash": "by the share of the rollout's stage",
+}
+
+
+def _describe_version(found: Trace, fields: dict[str, str]) -> str:
+    """Say which version a request ran on, and why."""
+    text = f"version {fields.get('version')}"
+    source = VERSION_SOURCES.get(fields.get("version_source", ""))
+    if source is not None:
+        text += f", {source}"
+    if fields.get("version_source") in ("held", "told"):
+        text += f" for {fields.get('version_age_s')} s"
+    if fields.get("stage", "-1") != "-1":
+        text += f", stage {fields['stage']}"
+    changed = [item for item in found.own if item.event == "session_changed"]
+    if changed:
+        text += f"; its session ran on {changed[-1].fields.get('before')} before"
+    return text
+
+
 def explain(found: Trace) -> str:
     """Explain in a few sentences how a request ended and why, with one for each failed attempt.
 
@@ -151,11 +178,7 @@
             failed = [item for item in found.own if item.event == "attempt_failed"]
             steps = [item for item in found.own if item.event == "step_up"]
             text = f"Ended as {fields.get('outcome')!r} after {fields.get('took_ms')} ms and "
-            text += f"{fields.get('sends')} attempts (version {fields.get('version')}"
-            text += f" by {fields['version_source']})." if "version_source" in fields else ")."
-            changed = [item for item in found.own if item.event == "session_changed"]
-            if changed:
-                text += f" Its session ran on {changed[-1].fields.get('before')} before."
+            text += f"{fields.get('sends')} attempts ({_describe_version(found, fields)})."
             if steps:
                 text += (
                     " The smallest model had low confidence "
--- a/features/gateway_sessions.feature
+++ b/features/gateway_sessions.feature
@@ -10,6 +10,7 @@
     And a rollout of the models with a distant deadline is under way at all gateways
     And a chat of each of these sessions is sent to the second gateway
     Then at most 3 of these chats run on the new version
+    And the trace of each covered one says that another gateway told of its session
 
   # Guards against sessions that go back from a good version, as a gateway remembers the old one (PINNED).
   @promise.version @failure.rollout
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -6,6 +6,8 @@
 from behave import then, when
 from support.platform import fleet
 
+from berylrock.ops import activesessions, rollouts, tracing
+
 SERVICE, NEW_VERSION = "models", "v2"
 DISTANT_S = 600
 # Chats that are under way at a time, which the engines have room for.
@@ -125,3 +127,23 @@
     item.popen.wait(15.0)
     del context.names[0]
     context.second = context.names[0]
+
+
+@then("the trace of each covered one says that another gateway told of its session")
+def step_trace(context):
+    """Trace the chats of the sessions that the first stage's share covers."""
+    sessions = [
+        (number, activesessions.make_session(SERVICE, f"session-{number}"))
+        for number in range(context.sessions)
+    ]
+    covered = [
+        number
+        for number, session in sessions
+        if rollouts.find_position(SERVICE, NEW_VERSION, session.digest.hex())
+        < rollouts.STAGE_SHARES[0]
+    ]
+    name = context.names[1]
+    lines = context.gateway.gateways[name].log().splitlines()
+    texts = [tracing.explain(tracing.trace(lines, f"{name}-{number}")) for number in covered]
+    assert texts
+    assert all("as another gateway told for" in text for text in texts), texts
--- a/features/support/sessionsim.py
+++ b/features/support/sessionsim.py
@@ -263,7 +263,7 @@
     async def _serve(self, ctx, session, before, ended_at):
         """Run one request of a session, and judge its version."""
         plan = ctx.plan()
-        version = ctx.sessions.choose(plan, session).version
+        version = ctx.sessions.choose(plan, session, self._now).version
         ctx.sessions.begin(plan, session, version, self._now)
         first_half = self._now < ORDER_AT_S + DURATION_S / 2
         if before is None and ORDER_AT_S + FIRST_STAGE_S < self._now and first_half:
