Let a gateway that starts learn which sessions are held before it takes callers (PINNED)

A gateway that was restarted in the first stage, planned or not, did not know the sessions that the others hold; the first of them went to the new version there and back at the next gateway. Found by reading the mend once more for where the same cause could still act; the scenario fails without the change (mutant ready-without-held).

Now a gateway is ready once another one has reported the same set, for each rollout that has not passed its first stage, and without other gateways or after 3 s in any case. With no such rollout nothing changes. The simulation has restarts in the first stage, and gateways that read the records of others late.

--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -54,6 +54,9 @@
 MS_PER_S = 1000.0
 # Sessions are remembered for so much longer than they live, as messages between gateways take time.
 SESSION_MARGIN_S = 1.0
+# Longest time after its start for which a gateway takes no callers, as it may not have heard from
+# the others which sessions are held; they read its record within about half of it.
+MAX_JOINING_S = 3.0
 # Kinds of objects without which no request can be served.
 SERVED_KINDS = (names.CONFIG_KIND, names.ENGINES_KIND)
 
@@ -152,6 +155,8 @@
         self.peer_freshness = readiness.PeerFreshness()
         self.sessions = sessionplacement.SessionPlacement()
         self.heard_rollouts = heardrollouts.HeardRollouts()
+        self._started_at = freshness.boottime_clock()
+        self._joined_rollouts = False
         self.blame = crashblame.CrashBlame()
         self.strikes = strikes.StrikeTable(CRASHES_TO_QUARANTINE)
         self.budgets: dict[str, budget.WindowBudget] = {}
@@ -190,7 +195,7 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send callers to this gateway."""
-        if not self.informed or self.stopping:
+        if not self.informed or self.stopping or not self._has_joined_rollouts():
             return False
         now = freshness.boottime_clock()
         oldest_s = max(self.views[kind].freshness.age(now) for kind in SERVED_KINDS)
@@ -201,6 +206,19 @@
         fleet = readiness.Fleet(self.cfg.zone, zones, confirmed)
         return readiness.is_lost_for_all(fleet, now)
 
+    def _has_joined_rollouts(self) -> bool:
+        """Tell whether this gateway has, since its start, learned which sessions are held.
+
+        It waits for that no longer than ``MAX_JOINING_S``, as the others may have ended.
+        """
+        if not self._joined_rollouts:
+            is_alone = not self.peers.keys() - {self.cfg.name}
+            waited_s = freshness.boottime_clock() - self._started_at
+            self._joined_rollouts = (
+                is_alone or waited_s >= MAX_JOINING_S or self.sessions.knows_held()
+            )
+        return self._joined_rollouts
+
     def read_through(self, relay: str) -> None:
         """Read the store through a relay from now on, in place of watching it."""
         if self.relay != relay:
--- a/berylrock/daemons/gateway/rolloutexchange.py
+++ b/berylrock/daemons/gateway/rolloutexchange.py
@@ -31,7 +31,6 @@
 
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
-        self._reported: dict[tuple[str, heldsessions.RolloutKey], heldsessions.Summary] = {}
         # The rollouts in force, each with the time at which this gateway saw it change.
         self._changed: dict[str, tuple[routing.Rollout, float]] = {}
         self._round = 0
@@ -47,13 +46,6 @@
             name: before[name] if name in before and before[name][0] == item else (item, now)
             for name, item in found.items()
         }
-        self._reported = {
-            (peer, key): summary
-            for (peer, key), summary in self._reported.items()
-            if peer in ctx.peers
-            and key.service in found
-            and found[key.service].target == key.target
-        }
         self._round += 1
 
     def _list_changed(self) -> list[routing.Rollout]:
@@ -105,10 +97,9 @@
         left = MAX_DIGESTS
         for number, report in enumerate(message.held):
             key = heldsessions.RolloutKey(report.service, report.target)
-            summary = heldsessions.Summary(report.size, report.checksum)
-            digests = b""
-            if self._reported.get((peer, key), heldsessions.Summary()) != summary:
-                digests = self._ctx.sessions.held.take(key, left)
+            held, digests = self._ctx.sessions.held, b""
+            if not held.is_equal_at(key, peer):
+                digests = held.take(key, left)
             left -= len(digests) // DIGEST_BYTES
             message.held[number] = report._replace(digests=digests)
         message.sessions = self._choose_sessions() if peer in self._heirs else []
@@ -141,10 +132,9 @@
             self._receive_rollout(rollout, message.gateway, now)
         for report in message.held[:MAX_HELD_SETS]:
             key = heldsessions.RolloutKey(report.service, report.target)
-            self._reported[message.gateway, key] = heldsessions.Summary(
-                report.size, report.checksum
-            )
-            ctx.sessions.held.merge(key, report.digests, now)
+            if ctx.sessions.held.merge(key, report.digests, now):
+                summary = heldsessions.Summary(report.size, report.checksum)
+                ctx.sessions.held.record_report(key, message.gateway, summary)
         for service, packed in message.sessions:
             for digest, age_s in gossipmessage.unpack_sessions(packed):
                 ctx.sessions.active.learn(activesessions.Session(service, digest), now - age_s)
--- a/berylrock/ops/heldsessions.py
+++ b/berylrock/ops/heldsessions.py
@@ -73,6 +73,7 @@
 
     def __init__(self) -> None:
         self._sets: dict[RolloutKey, _HeldSet] = {}
+        self._reported: dict[RolloutKey, dict[str, Summary]] = {}
 
     def hold(self, key: RolloutKey, digest: bytes, now: float) -> None:
         """Add a session that this gateway knows by itself to the set of a rollout."""
@@ -108,6 +109,19 @@
         found = self._sets.get(key)
         return Summary() if found is None else Summary(len(found.holds), found.checksum)
 
+    def record_report(self, key: RolloutKey, gateway: str, summary: Summary) -> None:
+        """Record the summary of another gateway's set."""
+        self._reported.setdefault(key, {})[gateway] = summary
+
+    def is_equal_at(self, key: RolloutKey, gateway: str) -> bool:
+        """Tell whether another gateway's last report shows the same set; one without is empty."""
+        reported = self._reported.get(key, {}).get(gateway, Summary())
+        return reported == self.summarise(key)
+
+    def is_equal_at_any(self, key: RolloutKey) -> bool:
+        """Tell whether any other gateway has reported the same set."""
+        return self.summarise(key) in self._reported.get(key, {}).values()
+
     def take(self, key: RolloutKey, count: int) -> bytes:
         """Return up to ``count`` digests of a rollout's set, one after the other, in turns."""
         found = self._sets.get(key)
@@ -127,3 +141,6 @@
             for key, item in self._sets.items()
             if key in kept or now - item.heard_at < UNKNOWN_KEPT_S
         }
+        self._reported = {
+            key: item for key, item in self._reported.items() if key in kept or key in self._sets
+        }
--- a/berylrock/ops/sessionplacement.py
+++ b/berylrock/ops/sessionplacement.py
@@ -63,6 +63,10 @@
         self._followed = keys
         self.held.retain(keys, now)
 
+    def knows_held(self) -> bool:
+        """Tell whether any other gateway has the same held sessions, for each open rollout."""
+        return all(self.held.is_equal_at_any(key) for key in self._followed)
+
     def choose(
         self, plan: rollouts.Plan, session: activesessions.Session, now: float
     ) -> rollouts.VersionChoice:
--- a/features/gateway_sessions.feature
+++ b/features/gateway_sessions.feature
@@ -33,6 +33,16 @@
     And a chat of each of these sessions is sent to the second gateway
     Then at most 3 of these chats run on the new version
 
+  # Guards against sessions that change their version at a gateway which has just started (PINNED).
+  @promise.version @failure.rollout
+  Scenario: A gateway that starts in the first stage learns which sessions are held before it takes callers
+    Given three gateways that connect to the engines directly
+    When a chat of each of 300 sessions is sent to the first gateway
+    And a rollout of the models with a distant deadline is under way at all gateways
+    And the second gateway is restarted, and takes callers as soon as it is ready
+    And a chat of each session that the first stage covers is sent to the second gateway
+    Then at most 3 of these chats run on the new version
+
   # Guards against sessions that go back at a gateway which learns of a stage late (PINNED).
   Scenario: A gateway that the store tells late goes by the stage that other gateways report
     Given a gateway that knows a rollout in its second stage from the store
@@ -53,6 +63,7 @@
       | while datagrams are lost           | with a fifth of the datagrams lost and repeated     | 0    |
       | while the store tells some late    | with a third of the gateways told 3 s late          | 0    |
       | while gateways are restarted       | with half of the gateways restarted as planned      | 0    |
+      | restarts in the first stage        | with half of the gateways restarted after the order | 0    |
 
   Scenario: Gateways that ignore what the others tell are noticed
     Given 1 simulated rollouts with 12 gateways and 1500 sessions at a time, with no word of other gateways
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -14,13 +14,13 @@
 CHATS_AT_ONCE = 10
 
 
-def send_chats(context, name, count, mark=""):
+def send_chats(context, name, numbers, mark=""):
     """Send a chat of each session to a gateway; each has to be answered.
 
     Args:
       context: The scenario's state.
       name: The gateway.
-      count: Number of sessions.
+      numbers: Numbers of the sessions.
       mark: Start of the chats' ids, if the gateway has got chats of these sessions before.
     """
     item = context.gateway.gateways[name]
@@ -38,7 +38,7 @@
             return await fleet.exchange((item.host, item.port), "GET", "/chat/a", lines, b"")
 
     async def run():
-        return await asyncio.gather(*map(send, range(count)))
+        return await asyncio.gather(*map(send, numbers))
 
     results = context.gateway.thread.run(run())
     assert {result.status for result in results} == {200}, results[:3]
@@ -48,7 +48,7 @@
 def step_first_chats(context, count):
     """Let the sessions begin there."""
     context.sessions = count
-    send_chats(context, context.names[0], count)
+    send_chats(context, context.names[0], range(count))
 
 
 @when("a rollout of the models with a distant deadline is under way at all gateways")
@@ -70,7 +70,7 @@
 def step_second_chats(context):
     """Let the sessions go on there."""
     second = getattr(context, "second", context.names[1])
-    send_chats(context, second, context.sessions)
+    send_chats(context, second, range(context.sessions))
 
 
 @then("at most {most:d} of these chats run on the new version")
@@ -97,7 +97,7 @@
 def step_third_chats(context):
     """Let the sessions return within their time to live."""
     context.moved = find_sessions(new_runs(context))
-    send_chats(context, context.names[0], context.sessions, "again-")
+    send_chats(context, context.names[0], range(context.sessions), "again-")
 
 
 def new_runs(context):
@@ -129,19 +129,45 @@
     context.second = context.names[0]
 
 
+@when("the second gateway is restarted, and takes callers as soon as it is ready")
+def step_restart_second(context):
+    """Stop it as planned, start it, and wait for its readiness page."""
+    running, item = context.gateway, context.gateway.gateways[context.names[1]]
+    item.popen.send_signal(signal.SIGTERM)
+    item.popen.wait(15.0)
+    item.start()
+
+    def is_ready():
+        request = fleet.exchange(
+            (item.host, item.ready_port), "GET", "/readyz", [("Host", "x")], b""
+        )
+        return running.thread.run(request).status == 200
+
+    running.wait(is_ready, "the restarted gateway is ready")
+
+
+@when("a chat of each session that the first stage covers is sent to the second gateway")
+def step_covered_chats(context):
+    """Send them at once."""
+    send_chats(context, context.names[1], find_covered(context.sessions))
+
+
+def find_covered(count):
+    """Return the numbers of the sessions that the first stage's share covers."""
+    found = []
+    for number in range(count):
+        session = activesessions.make_session(SERVICE, f"session-{number}")
+        position = rollouts.find_position(SERVICE, NEW_VERSION, session.digest.hex())
+        if position < rollouts.STAGE_SHARES[0]:
+            found.append(number)
+    assert len(found) > 5, found
+    return found
+
+
 @then("the trace of each covered one says that another gateway told of its session")
 def step_trace(context):
     """Trace the chats of the sessions that the first stage's share covers."""
-    sessions = [
-        (number, activesessions.make_session(SERVICE, f"session-{number}"))
-        for number in range(context.sessions)
-    ]
-    covered = [
-        number
-        for number, session in sessions
-        if rollouts.find_position(SERVICE, NEW_VERSION, session.digest.hex())
-        < rollouts.STAGE_SHARES[0]
-    ]
+    covered = find_covered(context.sessions)
     name = context.names[1]
     lines = context.gateway.gateways[name].log().splitlines()
     texts = [tracing.explain(tracing.trace(lines, f"{name}-{number}")) for number in covered]
--- a/features/steps/session_simulation_steps.py
+++ b/features/steps/session_simulation_steps.py
@@ -10,6 +10,9 @@
     "with a fifth of the datagrams lost and repeated": sessionsim.Trouble(lost=0.2, repeated=0.2),
     "with a third of the gateways told 3 s late": sessionsim.Trouble(late=0.34, late_s=3.0),
     "with half of the gateways restarted as planned": sessionsim.Trouble(restarts=0.5),
+    "with half of the gateways restarted after the order": sessionsim.Trouble(
+        restarts=0.5, restarts_before_s=-1.2
+    ),
     "with no word of other gateways": sessionsim.Trouble(forgets_word=True),
 }
 
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -3,6 +3,13 @@
 from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
+    Mutant(
+        "ready-without-held",
+        "daemons/gateway/context.py",
+        "or not self._has_joined_rollouts()",
+        "",
+        "A gateway that starts in the first stage learns which sessions are held",
+    ),
     Mutant(
         "informed-without-rollouts",
         "daemons/gateway/context.py",
@@ -48,8 +55,8 @@
     Mutant(
         "held-alone",
         "daemons/gateway/rolloutexchange.py",
-        "            ctx.sessions.held.merge(key, report.digests, now)\n",
-        "",
+        "ctx.sessions.held.merge(key, report.digests, now)",
+        'ctx.sessions.held.merge(key, b"", now)',
         "A session that comes to another gateway early in a rollout keeps its version",
     ),
     Mutant(
--- a/features/support/sessionsim.py
+++ b/features/support/sessionsim.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from berylrock.core import routing
-from berylrock.daemons.gateway import gossipmessage, rolloutexchange
+from berylrock.daemons.gateway import context, gossipmessage, rolloutexchange
 from berylrock.ops import activesessions, heardrollouts, rollouts, sessionplacement
 from support import virtualtime
 
@@ -24,6 +24,8 @@
 SECOND_STAGE_S, LAST_STAGE_S, COMPLETED_S = 10.3, 16.0, 19.0
 # Time from SIGTERM to the end of a gateway without running requests, and until it starts again.
 DRAIN_S, RESTART_S = 2.2, 0.5
+# Time between two looks of a gateway at the records of the others.
+PEERS_READ_S = 1.5
 
 
 class Trouble(NamedTuple):
@@ -34,7 +36,8 @@
       repeated: Share of the datagrams that arrive again, up to a second later.
       late: Share of the gateways that learn from the store ``late_s`` seconds late.
       late_s: That delay.
-      restarts: Share of the gateways that are restarted one after the other around the order.
+      restarts: Share of the gateways that are restarted one after the other.
+      restarts_before_s: How long before the order the first of them is.
       forgets_word: Whether gateways ignore what the others tell of sessions and rollouts.
     """
 
@@ -43,6 +46,7 @@
     late: float = 0.0
     late_s: float = 0.0
     restarts: float = 0.0
+    restarts_before_s: float = 4.0
     forgets_word: bool = False
 
 
@@ -80,7 +84,8 @@
     """The part of a gateway's state that the exchange of sessions uses."""
 
     def __init__(self, name, names, rng):
-        self.name, self.rng, self.stopping = name, rng, False
+        self.name, self.rng = name, rng
+        self.stopping = self.starting = False
         self.peers = {item: None for item in names if item != name}
         self.rollouts = {}
         self.revision = 1
@@ -89,6 +94,11 @@
         self.session_ttl_s = TTL_S + MARGIN_S
         self.log = self.meter = _Sink()
 
+    @property
+    def serves(self):
+        """Whether new requests come to this gateway."""
+        return not self.stopping and not self.starting
+
     def rollout_in_force(self, service):
         """Return a service's rollout."""
         known = self.rollouts.get(service)
@@ -127,6 +137,8 @@
         self._contexts = {}
         self._exchanges = {}
         self._tasks = set()
+        # When the others have read the record of a gateway that was restarted.
+        self._known_at = {}
         self._late = set(self._rng.sample(self._names, round(trouble.late * gateways)))
         self._counts = dict.fromkeys(Outcome._fields, 0)
 
@@ -189,7 +201,7 @@
     async def _restart_some(self):
         """Restart gateways one after the other, as operators do, from before the order on."""
         count = round(self._trouble.restarts * len(self._names))
-        await asyncio.sleep(ORDER_AT_S - 4.0)
+        await asyncio.sleep(ORDER_AT_S - self._trouble.restarts_before_s)
         for name in self._names[:count]:
             await self._restart(name)
             await asyncio.sleep(0.3)
@@ -206,10 +218,14 @@
         latest = max(others, key=lambda item: item.revision)
         fresh.revision, fresh.rollouts = latest.revision, dict(latest.rollouts)
         fresh.follow_rollouts()
+        fresh.starting = True
+        begun = self._now
+        self._known_at[name] = begun + self._rng.uniform(0.0, PEERS_READ_S)
+        while not fresh.sessions.knows_held() and self._now < begun + context.MAX_JOINING_S:
+            await asyncio.sleep(0.05)
         # The load balancer asks for readiness once a second.
-        fresh.stopping = True
-        await asyncio.sleep(1.0)
-        fresh.stopping = False
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        fresh.starting = False
 
     async def _broadcast(self, ctx):
         await asyncio.sleep(self._rng.uniform(0.0, BROADCAST_S))
@@ -237,8 +253,11 @@
 
     async def _deliver(self, peer, data, delay_s):
         await asyncio.sleep(delay_s)
-        if peer in self._contexts and not self._trouble.forgets_word:
-            message = msgspec.msgpack.decode(data, type=gossipmessage.RolloutGossipMessage)
+        if peer not in self._contexts or self._trouble.forgets_word:
+            return
+        message = msgspec.msgpack.decode(data, type=gossipmessage.RolloutGossipMessage)
+        now = self._now
+        if now >= self._known_at.get(peer, 0.0) and now >= self._known_at.get(message.gateway, 0.0):
             self._exchanges[peer].receive(message)
 
     async def _live(self, name):
@@ -252,9 +271,7 @@
     async def _live_once(self, session):
         before, before_gateway, ended_at = None, None, 0.0
         for _ in range(self._rng.randint(1, 5)):
-            gateway = self._rng.choice(
-                [item for item, ctx in self._contexts.items() if not ctx.stopping]
-            )
+            gateway = self._rng.choice([name for name, ctx in self._contexts.items() if ctx.serves])
             version = await self._serve(self._contexts[gateway], session, before, ended_at)
             self._counts["moved"] += before is not None and gateway != before_gateway
             before, before_gateway, ended_at = version, gateway, self._now
