--- a/berylrock/daemons/gateway/advancing.py
+++ b/berylrock/daemons/gateway/advancing.py
@@ -8,6 +8,7 @@
     backoff,
     evidence,
     freshness,
+    heldsessions,
     rolloutclock,
     rollouts,
     sampling,
@@ -124,10 +125,13 @@
         return rollouts.Verdict(fault, judge.find_doubt(rollout.stage), total, usual)
 
     def _update_sampling(self, rollout: routing.Rollout, progress: _Progress, now: float) -> None:
-        """Update which share of each route's requests goes to the version on trial."""
+        """Update which share of each route's requests goes to the version on trial.
+
+        Requests without a session are on trial from the order on.
+        """
         ctx, shares = self._ctx, {}
         vetoed = ctx.is_vetoed(rollout.service, rollout.target)
-        if rollout.state == "running" and not vetoed:
+        if not vetoed:
             age_s = progress.clock.age_s(now)
             bounds = ctx.cfg.bounds
             shares = sampling.sampling_shares(progress.judge, age_s, rollout.duration_s, bounds)
@@ -222,7 +226,9 @@
         margin_s = sampling.second_stage_margin_s(
             ctx.runs_models(service), ctx.request_rate(service), bounds
         )
-        return rollouts.make_schedule(rollout.duration_s, bounds.canary_share, margin_s)
+        key = heldsessions.RolloutKey(service, rollout.target)
+        held = ctx.sessions.held.summarise(key).size
+        return rollouts.make_schedule(rollout.duration_s, bounds.canary_share, margin_s, held)
 
     async def _try_write(self, wanted: routing.Rollout, progress: _Progress) -> str:
         """Write a rollout's status, with a pause after a failure; returns what failed, if any."""
--- a/berylrock/daemons/gateway/context.py
+++ b/berylrock/daemons/gateway/context.py
@@ -375,7 +375,7 @@
 
     def services_in_rollout(self) -> set[str]:
         """Return the services that have a rollout in progress."""
-        return {item.service for item in self.rollouts.values() if item.state == "running"}
+        return {item.service for item in self.rollouts.values() if item.state in ("new", "running")}
 
     def is_vetoed(self, service: str, version: str) -> bool:
         """Tell whether a version was found bad."""
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -46,7 +46,8 @@
 # Before the first stage, the gateways tell each other which sessions are active. All sessions stay
 # on the old version until then.
 COLLECTING_STAGE = -1
-COLLECTION_S = 1.0
+# That takes longer in a large fleet, in which so many sessions a second become known to all.
+COLLECTION_S, MAX_COLLECTION_S, COLLECTED_PER_S = 1.0, 5.0, 1000.0
 MAX_COLLECTION_SHARE = 0.1
 # Sessions may move after half of the time. The margin above one half allows for clock skew.
 FIRST_STAGE_TIME_SHARE = 0.515
@@ -153,11 +154,13 @@
     """Start times of the stages of a rollout, in seconds after the order.
 
     Attributes:
+      first: Start of the first stage, before which the gateways collect the active sessions.
       second: Start of the second stage.
       last: Start of the last stage, in which all sessions move.
       completed: Time at which the rollout completes and the old engines may stop.
     """
 
+    first: float
     second: float
     last: float
     completed: float
@@ -372,7 +375,9 @@
     return trial.slow - usual_slow_share * trial.timed > SLOW_DEVIATIONS * spread
 
 
-def make_schedule(duration_s: float, canary_share: float, margin_s: float = 0.0) -> Schedule:
+def make_schedule(
+    duration_s: float, canary_share: float, margin_s: float = 0.0, held: int = 0
+) -> Schedule:
     """Compute the start times of the stages, so that a bad version stays within its share.
 
     Args:
@@ -380,15 +385,19 @@
       canary_share: Largest share of the requests in that time that a bad version may receive.
       margin_s: Requests beyond that share that the second stage may use, expressed in seconds of
         the service's whole traffic.
+      held: Sessions known so far that the first stage must not move.
 
     Returns:
       The schedule.
     """
+    collection_s = min(MAX_COLLECTION_S, max(COLLECTION_S, held / COLLECTED_PER_S))
+    first = min(collection_s, MAX_COLLECTION_SHARE * duration_s)
     exposure_s = canary_share * duration_s
     last = duration_s - LAST_STAGE_EXPOSURE_SHARE * exposure_s
     second = last - (SECOND_STAGE_EXPOSURE_SHARE * exposure_s + margin_s) / STAGE_SHARES[1]
     half = FIRST_STAGE_TIME_SHARE * duration_s
-    return Schedule(max(second, half), max(last, half), duration_s - COMPLETION_MARGIN_S)
+    completed = duration_s - COMPLETION_MARGIN_S
+    return Schedule(first, max(second, half), max(last, half), completed)
 
 
 def is_held(rollout: routing.Rollout, verdict: Verdict, age_s: float) -> bool:
@@ -432,8 +441,7 @@
             "reverted", rollout.stage, f"{verdict.fault}; errors+slow/answers={verdict.trial}"
         )
     if rollout.state == "new":
-        collected_s = min(COLLECTION_S, MAX_COLLECTION_SHARE * rollout.duration_s)
-        return Decision("running", 0, "sessions collected") if age_s >= collected_s else None
+        return Decision("running", 0, "sessions collected") if age_s >= due.first else None
     if rollout.stage == 0:
         return Decision("running", 1, "no fault found") if age_s >= due.second else None
     if is_held(rollout, verdict, age_s):
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -301,6 +301,10 @@
     And timestamps of an earlier process or an earlier boot of the VM are ignored
     And a view that differs from a fresher one for too long has missed a change
 
+  Scenario: A rollout of a large fleet waits until its gateways know the active sessions
+    Then the first stage begins after 1 s with 50 held sessions, and after 3 s with 3000
+    And it begins within a tenth of the rollout's time, and within 5 s
+
   Scenario: A session keeps its version through the first half of a rollout
     Then an active session keeps its version in the first stages
     And every gateway chooses the same version for a new session
--- a/features/steps/gateway_version_steps.py
+++ b/features/steps/gateway_version_steps.py
@@ -164,6 +164,35 @@
     return rollouts.choose_for_session(plan, "models", session.digest, held).version
 
 
+def begins_at(duration_s, held):
+    """Return when a rollout leaves the state in which sessions are collected."""
+    due = rollouts.make_schedule(duration_s, CANARY_SHARE, held=held)
+    ordered = routing.Rollout("models", "v2", duration_s, "new", 0, 1)
+    ages_s = [step / 10 for step in range(int(duration_s * 10))]
+    return next(
+        age_s
+        for age_s in ages_s
+        if rollouts.decide(ordered, rollouts.Verdict(), age_s, age_s, due) is not None
+    )
+
+
+@then(
+    "the first stage begins after {few_s:g} s with {few:d} held sessions, and after {many_s:g} s"
+    " with {many:d}"
+)
+def step_collection(context, few_s, few, many_s, many):
+    """Check a rollout of a minute."""
+    assert begins_at(60.0, few) == few_s
+    assert begins_at(60.0, many) == many_s
+
+
+@then("it begins within a tenth of the rollout's time, and within {most_s:g} s")
+def step_collection_bounds(context, most_s):
+    """Check a short rollout, and one with more sessions than planned for."""
+    assert begins_at(8.0, 50) <= 0.8
+    assert begins_at(600.0, 100_000) <= most_s
+
+
 @then("an active session keeps its version in the first stages")
 def step_session_keeps_version(context):
     """Check sessions that began before the rollout, and those that begin in its first stage."""
