Let the soak's chats belong to sessions, and notice those that change their version (PINNED)

Each chat of a soak belongs to one of 60 sessions in turn, so that a session comes to another gateway each time, also during the rollouts, which are of good versions. More than three changes in the first half or back, outside disturbances, are a breach.

--- a/features/support/platform/soakcalls.py
+++ b/features/support/platform/soakcalls.py
@@ -17,6 +17,8 @@
 MAX_PAUSE_S = 0.02
 # Id of the requests that check whether a gateway has recovered.
 PROBE_ID = "f" * 16
+# Sessions to which the chats of all callers belong in turn, so that each comes to other gateways.
+SESSIONS = 60
 # HTTP method by kind of request.
 METHODS = {"read": "GET", "order": "POST", "chat": "POST"}
 
@@ -39,6 +41,7 @@
       body: The part of the response's body that arrived.
       whole: Whether the response arrived completely.
       first_on_connection: Whether the request was the first one on its connection.
+      session: Name of the session of a chat; empty for other requests.
     """
 
     id: str
@@ -53,6 +56,7 @@
     body: bytes
     whole: bool
     first_on_connection: bool
+    session: str
 
 
 class Callers:
@@ -116,8 +120,9 @@
         kind = self._rng.choice(sorted(METHODS))
         key = self._rng.choice(self._faults.current_keys)
         target = f"/{kind}/{attempt_id}"
+        session = f"session-{self._count % SESSIONS}" if kind == "chat" else ""
         sent_at = time.monotonic()
-        status, headers, body, whole = await exchange(conn, kind, target, attempt_id, key)
+        status, headers, body, whole = await exchange(conn, kind, target, attempt_id, key, session)
         return Call(
             attempt_id,
             kind,
@@ -131,6 +136,7 @@
             body,
             whole,
             is_first,
+            session,
         )
 
     def stop(self):
@@ -138,7 +144,7 @@
         self._stopped = True
 
 
-def make_headers(kind, attempt_id, key, body):
+def make_headers(kind, attempt_id, key, body, session=""):
     """Return the headers of a request.
 
     Args:
@@ -146,6 +152,7 @@
       attempt_id: Id of the request.
       key: The caller's key.
       body: Body of the request.
+      session: Name of its session; empty if it has none.
     """
     lines = {
         "Host": fleet.HOST,
@@ -159,10 +166,12 @@
         lines["X-Berylrock-Model"] = "*"
         lines["X-Berylrock-Token-Usage"] = "100,20"
         lines["X-Berylrock-Prefix-Hash"] = f"aa:50,{attempt_id}:50"
+    if session:
+        lines["Session"] = session
     return [(name.encode(), value.encode()) for name, value in lines.items()]
 
 
-async def exchange(conn, kind, target, attempt_id, key):
+async def exchange(conn, kind, target, attempt_id, key, session=""):
     """Send a request and read its response.
 
     Args:
@@ -171,6 +180,7 @@
       target: Request target.
       attempt_id: Id of the request.
       key: The caller's key.
+      session: Name of the request's session; empty if it has none.
 
     Returns:
       The status, headers and body, and whether the response arrived completely. A response that
@@ -180,7 +190,8 @@
     status, headers, data = 0, {}, b""
     try:
         async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
-            await conn.send(METHODS[kind], target, make_headers(kind, attempt_id, key, body), body)
+            lines = make_headers(kind, attempt_id, key, body, session)
+            await conn.send(METHODS[kind], target, lines, body)
             while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     status = event.status_code
--- a/features/support/platform/soakchecks.py
+++ b/features/support/platform/soakchecks.py
@@ -1,5 +1,7 @@
 """Checks a soak's results: compares what callers received with what engines ran."""
 
+import itertools
+
 from . import soakcalls, soakfaults, soakfleet
 
 # Most runs of one request, by kind.
@@ -12,6 +14,8 @@
 DEADLINE_SLACK_S = 0.5
 # A pause that an engine asks for holds from so long after its answer, but for a few requests.
 PAUSE_SLACK_S, MAX_EARLY = 0.5, 2
+# Time to live of a session, and how many of them may change their version when they must not.
+SESSION_TTL_S, MAX_CHANGED = 5.0, 3
 # Events of a complete stream.
 EVENT_COUNT = 6
 # Kinds of timeline entries that are faults, not planned changes.
@@ -25,16 +29,19 @@
       calls: All ``soakcalls.Call`` of the run.
       engines: Stand-in engines by name.
       timeline: The ``soakfaults.TimelineEntry`` of all faults and planned changes.
+      versions: When each version was ordered, in the order of the rollouts.
 
     Attributes:
       breaches: Descriptions of the breaches found so far.
     """
 
-    def __init__(self, calls, engines, timeline):
+    def __init__(self, calls, engines, timeline, versions):
         self.breaches = []
         self._calls = {call.id: call for call in calls}
         self._timeline = timeline
         self._engines = engines
+        self._ordered_at = [float("-inf"), *versions.values()]
+        self._version_names = list(versions)
         self._runs = {}
         for name, engine in engines.items():
             for run in engine.runs:
@@ -52,6 +59,7 @@
         self._check_drains()
         for name, engine in self._engines.items():
             self._check_notices(name, engine.arrivals)
+        self._check_sessions()
         return self.breaches
 
     def _add_breach(self, promise, call_id, detail):
@@ -157,6 +165,39 @@
                             f"{name} ran it {run.started_at - entry.at:.2f} s after draining began",
                         )
 
+    def _check_sessions(self):
+        """Check that sessions move late in a rollout and never back, as all versions are good."""
+        chats = sorted(
+            (call for call in self._calls.values() if call.session and call.status == 200),
+            key=lambda call: (call.session, call.sent_at),
+        )
+        changed = [
+            later
+            for _, group in itertools.groupby(chats, key=lambda call: call.session)
+            for earlier, later in itertools.pairwise(group)
+            if self._changes_wrongly(earlier, later)
+        ]
+        if len(changed) > MAX_CHANGED:
+            ids = ", ".join(call.id for call in changed)
+            self._add_breach("session", changed[0].id, f"another version than before: {ids}")
+
+    def _changes_wrongly(self, earlier, later):
+        """Tell whether a chat runs on a version on which its session must not be yet, or again."""
+        if not earlier.ended_at < later.sent_at < earlier.ended_at + SESSION_TTL_S:
+            return False
+        before, after = self._version_of(earlier), self._version_of(later)
+        half_s = soakfaults.ROLLOUT_S / 2.0
+        early = after > before and later.ended_at < self._ordered_at[after] + half_s
+        if not early and after >= before:
+            return False
+        return not self._disturbed(earlier.sent_at - CONTACT_S, later.ended_at)
+
+    def _version_of(self, call):
+        """Return the number of the version that has answered a call, 0 for the first one."""
+        signer = call.headers.get("x-berylrock-response-signature", "").removeprefix("sig-")
+        version = signer.removeprefix("models-")
+        return 1 + self._version_names.index(version) if version in self._version_names else 0
+
     def _check_notices(self, name, arrivals):
         """Check that each gateway heeds what an engine has said to it."""
         by_gateway = {}
@@ -204,4 +245,4 @@
       engines: Stand-in engines by name.
       faults: The faults that were injected.
     """
-    return Checker(calls, engines, faults.timeline).find_breaches()
+    return Checker(calls, engines, faults.timeline, faults.versions).find_breaches()
--- a/features/support/platform/soakfaults.py
+++ b/features/support/platform/soakfaults.py
@@ -54,6 +54,8 @@
     name: str
 
 
+# Time from the order of a rollout to its deadline, in seconds.
+ROLLOUT_S = 3
 # Changes that operators plan; all other kinds are faults.
 PLANNED_KINDS = ("drain", "evacuate", "revoke", "reconfigure", "rollout", "term")
 KINDS = (
@@ -353,6 +355,6 @@
         version = f"v{len(self.versions) + 2}"
         self.versions[version] = self._clock()
         self._fleet.add_engine(f"models-{version}", "models", version=version)
-        order = {"backend": "models", "target": version, "duration-s": 3}
+        order = {"backend": "models", "target": version, "duration-s": ROLLOUT_S}
         self._fleet.put("rollouts", "models", order)
         return lambda: None
--- a/features/support/platform/soakmutants.py
+++ b/features/support/platform/soakmutants.py
@@ -84,6 +84,12 @@
         "        API_KEY,\n        ORGANISATION,",
         "        ORGANISATION,",
     ),
+    _remove(
+        "gateways choose the same version for a session",
+        "ops/rollouts.py",
+        "    if find_position(service, plan.trial, digest.hex()) < plan.share:\n",
+        "    if find_position(service, plan.trial, str(id(plan))) < plan.share:\n",
+    ),
 )
 
 
