--- a/berylrock/ops/tracing.py
+++ b/berylrock/ops/tracing.py
@@ -120,7 +120,7 @@
 
 EXPLANATIONS = {
     "configuration_too_old": "The gateway could not reach the store; see error= of store_lost.",
-    "no_configuration": "The gateway had not read the configuration, engines, rollouts and evacuations yet.",
+    "no_configuration": "The gateway had not read all that it needs from the store yet.",
     "no_route": "No route of the configuration version config= has a prefix of this path.",
     "no_request_id": "The request named no id, so that no answer could be told to be its own.",
     "unknown_key": "No organisation of the configuration version config= has this API key.",
