--- a/berylrock/daemons/gateway/sending.py
+++ b/berylrock/daemons/gateway/sending.py
@@ -17,6 +17,7 @@
     rollouts,
     selection,
     timeouts,
+    versionchoice,
 )
 
 __all__ = ["Dispatcher"]
@@ -55,7 +56,7 @@
         self.attempts_arrived = 0
         self.last_reason = ""
         self.version: str | None = None
-        self.version_choice = rollouts.VersionChoice(None, "")
+        self.version_choice = versionchoice.VersionChoice(None, "")
         self.version_stage = rollouts.COLLECTING_STAGE
         self.caller_left = False
         self._current: attempt.Attempt | None = None
@@ -224,7 +225,9 @@
             choice = ctx.sessions.choose(plan, self._session, now)
         else:
             sampling_share = ctx.sampling_share(req)
-            choice = rollouts.choose_for_request(plan, req.service, req.head.id, sampling_share)
+            choice = versionchoice.choose_for_request(
+                plan, req.service, req.head.id, sampling_share
+            )
         self.version, self.version_choice, self.version_stage = choice.version, choice, plan.stage
         return self.version
 
--- a/berylrock/ops/rollouts.py
+++ b/berylrock/ops/rollouts.py
@@ -13,11 +13,11 @@
 the deadline.
 """
 
-import hashlib
 import math
 from typing import NamedTuple
 
 from berylrock.core import routing
+from berylrock.ops import positions
 
 __all__ = [
     "LAST_STAGE",
@@ -26,13 +26,9 @@
     "Plan",
     "Schedule",
     "Verdict",
-    "VersionChoice",
     "majority_version",
-    "choose_for_request",
-    "choose_for_session",
     "decide",
     "find_fault",
-    "find_position",
     "is_held",
     "make_plan",
     "make_schedule",
@@ -62,13 +58,9 @@
 # ``MIN_LAST_STAGE_S`` leaves short requests time to end.
 MIN_LAST_STAGE_S = 0.7
 MIN_SECOND_STAGE_S = 0.4
-HASH_RANGE = 2.0**64
 # A rollout waits for evidence until so many times its duration after the order.
 MAX_HELD_DURATIONS = 3.0
 
-# What decides the version of a request, as the log says it.
-ONLY, COLLECTING, HELD, TOLD, HASH = "only", "collecting", "held", "told", "hash"
-
 MIN_ERRORS = 5
 MIN_ERROR_RATE = 0.06
 # A failing engine or connection causes errors in every version. A bad version has several times as
@@ -218,85 +210,6 @@
     return Plan(stable, rollout.target, share, frozenset(), stage)
 
 
-def _hash_to_unit_interval(service: str, target: str, session: str) -> float:
-    digest = hashlib.blake2b(f"{service}\0{target}\0{session}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big") / HASH_RANGE
-
-
-class VersionChoice(NamedTuple):
-    """The version chosen for a request, and what decided it.
-
-    Attributes:
-      version: The version; None if none is known.
-      source: What decided: ``ONLY`` if no rollout offers another one, ``COLLECTING`` before the
-        first stage, ``HELD`` for a session that stays on the old version in that stage, ``TOLD`` if
-        this gateway knows so from another one, ``HASH`` for the share of the stage.
-      age_s: For how long this gateway has known that the session stays, in seconds; 0 for other
-        sources.
-    """
-
-    version: str | None
-    source: str
-    age_s: float = 0.0
-
-
-def find_position(service: str, target: str, text: str) -> float:
-    """Return the position of a session or request in a rollout, from 0 to below 1.
-
-    Args:
-      service: The service.
-      target: The version that the rollout introduces.
-      text: The session's digest in hexadecimal, or the request's id if it belongs to no session.
-    """
-    return _hash_to_unit_interval(service, target, text)
-
-
-def choose_for_request(
-    plan: Plan, service: str, request_id: str, sampling_share: float = 0.0
-) -> VersionChoice:
-    """Choose the version for a request without a session.
-
-    Args:
-      plan: The service's plan.
-      service: The service's name.
-      request_id: The request's id.
-      sampling_share: Share of such requests that goes to the version on trial, if that is more than
-        the plan's.
-
-    Returns:
-      The version and its source.
-    """
-    if plan.trial is None:
-        return VersionChoice(plan.stable, ONLY)
-    if find_position(service, plan.trial, request_id) < max(plan.share, sampling_share):
-        return VersionChoice(plan.trial, HASH)
-    return VersionChoice(plan.stable or plan.trial, HASH)
-
-
-def choose_for_session(plan: Plan, service: str, digest: bytes, held: bool) -> VersionChoice:
-    """Choose the version for a session's next request.
-
-    Args:
-      plan: The service's plan.
-      service: The service's name.
-      digest: Digest of the session's name.
-      held: Whether the session stays on the old version in the first stage.
-
-    Returns:
-      The version and its source.
-    """
-    if plan.trial is None:
-        return VersionChoice(plan.stable, ONLY)
-    old = plan.stable or plan.trial
-    if plan.stage == COLLECTING_STAGE:
-        return VersionChoice(old, COLLECTING)
-    if plan.stage == 0 and held:
-        return VersionChoice(old, HELD)
-    if find_position(service, plan.trial, digest.hex()) < plan.share:
-        return VersionChoice(plan.trial, HASH)
-    return VersionChoice(old, HASH)
-
-
 def trial_engines(engine_ids: list[str], plan: Plan) -> frozenset[str]:
     """Select the engines that receive the requests for a version on trial.
 
@@ -310,7 +223,9 @@
     Returns:
       The plan's share of the engines, at least one; the same selection at every gateway.
     """
-    ranked = sorted(engine_ids, key=lambda item: _hash_to_unit_interval("", plan.trial or "", item))
+    ranked = sorted(
+        engine_ids, key=lambda item: positions.find_position("", plan.trial or "", item)
+    )
     return frozenset(ranked[: max(1, round(plan.share * len(ranked)))])
 
 
--- a/berylrock/ops/sessionplacement.py
+++ b/berylrock/ops/sessionplacement.py
@@ -20,7 +20,7 @@
 from collections.abc import Iterable
 
 from berylrock.core import routing
-from berylrock.ops import activesessions, heldsessions, rollouts
+from berylrock.ops import activesessions, heldsessions, positions, rollouts, versionchoice
 
 __all__ = ["SessionPlacement", "is_open_to_holding"]
 
@@ -69,16 +69,16 @@
 
     def choose(
         self, plan: rollouts.Plan, session: activesessions.Session, now: float
-    ) -> rollouts.VersionChoice:
+    ) -> versionchoice.VersionChoice:
         """Choose the version for a session's next request."""
         service, digest = session
         hold = None
         if plan.trial is not None and plan.stage <= 0:
             hold = self.held.find(heldsessions.RolloutKey(service, plan.trial), digest)
-        choice = rollouts.choose_for_session(plan, service, digest, hold is not None)
-        if hold is None or choice.source != rollouts.HELD:
+        choice = versionchoice.choose_for_session(plan, service, digest, hold is not None)
+        if hold is None or choice.source != versionchoice.HELD:
             return choice
-        source = rollouts.TOLD if hold.told else rollouts.HELD
+        source = versionchoice.TOLD if hold.told else versionchoice.HELD
         return choice._replace(source=source, age_s=now - hold.since)
 
     def begin(
@@ -97,6 +97,6 @@
     def _hold_if_covered(
         self, key: heldsessions.RolloutKey, session: activesessions.Session, now: float
     ) -> None:
-        position = rollouts.find_position(key.service, key.target, session.digest.hex())
+        position = positions.find_position(key.service, key.target, session.digest.hex())
         if position < rollouts.STAGE_SHARES[0]:
             self.held.hold(key, session.digest, now)
--- a/features/steps/gateway_session_steps.py
+++ b/features/steps/gateway_session_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 from support.platform import fleet
 
-from berylrock.ops import activesessions, rollouts, tracing
+from berylrock.ops import activesessions, positions, rollouts, tracing
 
 SERVICE, NEW_VERSION = "models", "v2"
 DISTANT_S = 600
@@ -157,7 +157,7 @@
     found = []
     for number in range(count):
         session = activesessions.make_session(SERVICE, f"session-{number}")
-        position = rollouts.find_position(SERVICE, NEW_VERSION, session.digest.hex())
+        position = positions.find_position(SERVICE, NEW_VERSION, session.digest.hex())
         if position < rollouts.STAGE_SHARES[0]:
             found.append(number)
     assert len(found) > 5, found
--- a/features/steps/heard_rollout_steps.py
+++ b/features/steps/heard_rollout_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from berylrock.core import routing, stored
-from berylrock.ops import activesessions, heardrollouts, rollouts
+from berylrock.ops import activesessions, heardrollouts, rollouts, versionchoice
 
 SERVICE, OLD, NEW = "models", "v1", "v2"
 REVISION = stored.make_revision(2, 500)
@@ -29,7 +29,7 @@
     rollout = context.heard.choose_later(SERVICE, context.known, REVISION + 1)
     plan = rollouts.make_plan(rollout, [], False)._replace(stable=OLD)
     chosen = {
-        rollouts.choose_for_session(plan, SERVICE, session.digest, False).version
+        versionchoice.choose_for_session(plan, SERVICE, session.digest, False).version
         for session in SESSIONS
     }
     assert chosen == {NEW}, chosen
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -68,8 +68,8 @@
     ),
     Mutant(
         "no-collecting",
-        "ops/rollouts.py",
-        "    if plan.stage == COLLECTING_STAGE:\n",
+        "ops/versionchoice.py",
+        "    if plan.stage == rollouts.COLLECTING_STAGE:\n",
         "    if False:\n",
         "A session keeps its version through the first half of a rollout",
     ),
--- a/features/support/platform/soakmutants.py
+++ b/features/support/platform/soakmutants.py
@@ -86,9 +86,9 @@
     ),
     _remove(
         "gateways choose the same version for a session",
-        "ops/rollouts.py",
-        "    if find_position(service, plan.trial, digest.hex()) < plan.share:\n",
-        "    if find_position(service, plan.trial, str(id(plan))) < plan.share:\n",
+        "ops/versionchoice.py",
+        "    if positions.find_position(service, plan.trial, digest.hex()) < plan.share:\n",
+        "    if positions.find_position(service, plan.trial, str(id(plan))) < plan.share:\n",
     ),
 )
 
