Report the held sessions of many rollouts in turns (PINNED)

A datagram reports the sets of four rollouts; with a fifth service in a rollout, its sessions would have stayed with one gateway, and a ninth set was not taken in. Found by reading the mend once more; seven rollouts at a time in a scenario, which fails without the turns (mutant held-of-first-rollouts).

--- a/berylrock/daemons/gateway/rolloutexchange.py
+++ b/berylrock/daemons/gateway/rolloutexchange.py
@@ -55,15 +55,16 @@
         return sorted(found, key=lambda item: -item.revision)[:MAX_ROLLOUTS]
 
     def _list_held(self) -> list[heldsessions.RolloutKey]:
-        """Return the rollouts whose held sessions are reported in this round."""
+        """Return the rollouts whose held sessions are reported in this round, in turns if many."""
         if self._round % HELD_ROUNDS and not self._list_changed():
             return []
-        found = [item for item, _ in self._changed.values()]
-        return [
+        found = sorted(
             heldsessions.RolloutKey(item.service, item.target)
-            for item in sorted(found, key=lambda item: -item.revision)
+            for item, _ in self._changed.values()
             if sessionplacement.is_open_to_holding(item)
-        ][:MAX_HELD_SETS]
+        )
+        first = self._round * MAX_HELD_SETS % len(found) if found else 0
+        return (found[first:] + found[:first])[:MAX_HELD_SETS]
 
     @property
     def is_needed(self) -> bool:
--- a/berylrock/ops/heldsessions.py
+++ b/berylrock/ops/heldsessions.py
@@ -10,12 +10,13 @@
 
 from berylrock.ops import activesessions
 
-__all__ = ["HeldSessions", "Hold", "RolloutKey", "Summary"]
+__all__ = ["DIGEST_BYTES", "HeldSessions", "Hold", "RolloutKey", "Summary"]
 
 # A set of a rollout that this gateway does not know is kept for this long, in seconds: the order
 # may be on its way.
 UNKNOWN_KEPT_S = 10.0
-MAX_UNKNOWN = 8
+# Rollouts of which sets are kept, so that reports of others cannot fill the memory.
+MAX_SETS = 64
 DIGEST_BYTES = activesessions.DIGEST_BYTES
 
 
@@ -88,10 +89,9 @@
           now: Time in seconds.
 
         Returns:
-          Whether they were added; False if there are too many rollouts that this gateway may not
-          know.
+          Whether they were added; False if there are too many rollouts.
         """
-        if key not in self._sets and len(self._sets) >= MAX_UNKNOWN:
+        if key not in self._sets and len(self._sets) >= MAX_SETS:
             return False
         found = self._sets.setdefault(key, _HeldSet())
         found.heard_at = now
--- a/features/gateway_sessions.feature
+++ b/features/gateway_sessions.feature
@@ -68,3 +68,8 @@
   Scenario: Gateways that ignore what the others tell are noticed
     Given 1 simulated rollouts with 12 gateways and 1500 sessions at a time, with no word of other gateways
     Then over 10 requests change their session's version early
+
+  # Guards against sessions that only one gateway knows, as a datagram has no room for all rollouts (PINNED).
+  Scenario: Many services have a rollout at a time
+    Given two gateways that follow rollouts of 7 services, of which one gateway holds a session each
+    Then the other one knows all held sessions after 5 s of datagrams
--- a/features/support/gatewaymutants.py
+++ b/features/support/gatewaymutants.py
@@ -3,6 +3,13 @@
 from support.mutanttypes import Edit, Mutant
 
 MUTANTS = (
+    Mutant(
+        "held-of-first-rollouts",
+        "daemons/gateway/rolloutexchange.py",
+        "first = self._round * MAX_HELD_SETS % len(found) if found else 0",
+        "first = 0",
+        "Many services have a rollout at a time",
+    ),
     Mutant(
         "ready-without-held",
         "daemons/gateway/context.py",
