--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -1,6 +1,7 @@
 """Gateways and engines as processes, a stand-in store, and clients, for the cases of this review.
 
-The gateways run with the command of the deploy file. The store is the project's stand-in.
+The gateways run with the command of the deploy file. The store is the project's stand-in. With
+``KEEP_LOGS=1`` the settings and logs of the gateways stay in the temporary folder.
 """
 
 import asyncio
@@ -10,6 +11,7 @@
 import os
 import pathlib
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -323,6 +325,8 @@
         lines = [*self.record, "runs, as the engines noted them:"]
         lines += [json.dumps(item) for item in self.runs()]
         (self.folder / "record.txt").write_text("\n".join(lines) + "\n")
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self._root, ignore_errors=True)
 
 
 HOST = "calls.example"
