Take a response with a status above 599 for an invalid one

Statuses below 100 ended as 502 already.

Cause: the HTTP parser checks that a final status is 200 or more, and nobody checked the other end; HTTP has statuses from 100 to 599 (RFC 9110, 15).

Change: the client connection to engines and to the store raises the error that any other invalid response raises, so the engine has failed: another one gets a read, an order ends with 502.

Tests: "An early answer to a long upload, with the status 600 / 999, is no answer" failed before; the ones with 000 and 099, and with a part without a length that is reset while 2 MB are being written, passed before and stay as a guard.

--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -30,6 +30,8 @@
 MAX_BUFFERED_BYTES = 65_536
 # Informational (1xx) responses that are skipped before a final one.
 MAX_INFORMATIONAL = 8
+# The largest status that HTTP has; the parser checks the smallest one.
+LAST_STATUS = 599
 # The kernel closes a connection if the peer accepts none of the sent data for this time. Callers
 # may read slowly, and engines may be late to read a long body.
 CALLER_TIMEOUT_MS = 15_000
@@ -336,6 +338,8 @@
                 if informational > MAX_INFORMATIONAL:
                     raise ResponseBroken("informational responses without end")
                 continue
+            if isinstance(event, h11.Response) and event.status_code > LAST_STATUS:
+                raise ResponseBroken(f"invalid HTTP response: status {event.status_code}")
             if isinstance(event, ResponseEvent):
                 return event
             raise ResponseBroken("connection was closed before the response ended")
--- a/features/gateway_hostile.feature
+++ b/features/gateway_hostile.feature
@@ -146,3 +146,18 @@
     And each stream of the models breaks off
     When a chat is sent in HTTP/1.0
     Then some events arrive, and then the connection is reset
+
+  # Guards against a part of an answer, or one with a status that HTTP has not, that looks like an answer (MIXED).
+  @promise.answer
+  Scenario Outline: An early answer to a long upload, <what>, is no answer
+    Given a gateway whose engines answer <what>
+    When orders, reads and chats with bodies of 200 bytes and 2 MB are sent
+    Then each of them ends with status 502, or as a stream that broke
+
+    Examples:
+      | what                                         |
+      | a part without a length, and then a reset    |
+      | with the status 000                          |
+      | with the status 099                          |
+      | with the status 600                          |
+      | with the status 999                          |
--- a/features/steps/gateway_hostile_steps.py
+++ b/features/steps/gateway_hostile_steps.py
@@ -347,3 +347,57 @@
     assert context.received.startswith(b"HTTP/1.1 200"), context.received
     assert b"chunked" not in context.received.lower(), context.received
     assert context.end == "reset", (context.end, context.received)
+
+
+EARLY_ANSWERS = {
+    "a part without a length, and then a reset": rawengine.Script(
+        BROKEN_HEADS["without a length"] + b"id: 1\ndata: part\n\n" * 60, resets=True
+    )
+}
+EARLY_ANSWERS |= {
+    f"with the status {status}": rawengine.Script(
+        ANSWER_HEAD.replace(b"200 OK", status.encode() + b" What")
+        + b"Content-Length: 18\r\n\r\nid: 1\ndata: part\n\n"
+    )
+    for status in ("000", "099", "600", "999")
+}
+
+
+@given("a gateway whose engines answer {what}")
+def step_early_answers(context, what):
+    """Start a gateway whose only engines are scripted ones, which do not read bodies."""
+    scenario.start_gateway(context, plain=0, models=0)
+    running = context.gateway
+    config = fleet.make_config(2)
+    config["limits"]["max-body-bytes"] = 4_000_000
+    running.put("config", "main", config)
+    running.wait(lambda: "config_in_force version=2" in running.log(), "long bodies are allowed")
+    context.raw = rawengine.RawEngine(EARLY_ANSWERS[what])
+    running.thread.run(context.raw.start())
+    for service in ("plain", "models"):
+        entry = fleet.make_entry(service, f"127.0.0.1:{context.raw.port}")
+        running.put("servers", f"{service}-raw", entry)
+        running.wait(lambda name=service: f"engine={name}-raw" in running.log(), "it is known")
+
+
+@when("orders, reads and chats with bodies of 200 bytes and 2 MB are sent")
+def step_send_uploads(context):
+    """Send each of them twice."""
+    running = context.gateway
+    context.results = []
+    for size in (200, 2_000_000) * 2:
+        body = b"x" * size
+        context.results += [
+            running.send("POST", "/order/a", body=body),
+            running.send("POST", "/read/a", body=body),
+            running.send("POST", "/chat/a", headers=fleet.CHAT_HEADERS, body=body),
+        ]
+
+
+@then("each of them ends with status 502, or as a stream that broke")
+def step_no_answer(context):
+    """Check each answer, and that the engine got them."""
+    for answer in context.results:
+        is_broken_stream = answer.status == 200 and not answer.whole
+        assert answer.status == 502 or is_broken_stream, answer
+    assert context.raw.requests >= len(context.results), context.raw.requests
--- a/features/support/platform/rawengine.py
+++ b/features/support/platform/rawengine.py
@@ -3,7 +3,10 @@
 import asyncio
 from typing import NamedTuple
 
+from berylrock.adapters import sockets
+
 HEAD_BYTES = 65_536
+RESET_DELAY_S = 0.1
 ID_HEADER = b"x-berylrock-attempt-id: "
 
 
@@ -17,6 +20,7 @@
       end: Bytes to send after ``count`` repetitions.
       count: Number of repetitions; None for no end.
       closes: Whether the engine closes the connection after that, and not with a reset.
+      resets: Whether it resets the connection soon after that, unread requests or not.
     """
 
     begin: bytes
@@ -25,6 +29,7 @@
     end: bytes = b""
     count: int | None = None
     closes: bool = False
+    resets: bool = False
 
 
 class Listener:
@@ -74,6 +79,9 @@
             head = await reader.readuntil(b"\r\n\r\n")
             self.requests += 1
             await self._answer(writer, head)
+            if self.script.resets:
+                await self._reset(writer)
+                return
             if self.script.closes:
                 writer.write_eof()
             await reader.read()
@@ -84,6 +92,12 @@
             self.closed += 1
             writer.transport.abort()
 
+    @staticmethod
+    async def _reset(writer):
+        """Reset a connection when what was sent has arrived."""
+        await asyncio.sleep(RESET_DELAY_S)
+        sockets.set_reset_on_close(writer.get_extra_info("socket"))
+
     async def _answer(self, writer, head):
         script = self.script
         request_id = head.lower().partition(ID_HEADER)[2].partition(b"\r\n")[0]
