Count each crash of an engine that is back under its id at once

Cause: reports of one engine within 3 s counted as one crash, so that those of an engine that was back after 0.4 s were taken together and the request had too few.

Change: a report whose request was sent after a known crash is about another one; of several crashes of an engine the nearest one is meant.

--- a/berylrock/ops/crashlog.py
+++ b/berylrock/ops/crashlog.py
@@ -9,7 +9,8 @@
 
 __all__ = ["SAME_CRASH_S", "Crash", "CrashLog", "CrashReport", "Exposure"]
 
-# Reports of one engine within this time, from any gateway, are about the same crash.
+# Reports of one engine within this time, from any gateway, are about the same crash, unless the
+# request was sent after the crash.
 SAME_CRASH_S = 3.0
 # Crashes are forgotten after this time.
 CRASH_TTL_S = 120.0
@@ -99,19 +100,27 @@
         exposure.add(report.request, report.sent_at, place)
 
 
+def _is_same(crash: Crash, report: CrashReport) -> bool:
+    """Tell whether a report may be about a known crash of its engine."""
+    return abs(report.at - crash.at) <= SAME_CRASH_S and report.sent_at <= crash.at
+
+
 class CrashLog:
     """The crashes of the last minutes, in the order of their times."""
 
     def __init__(self) -> None:
         self._crashes: list[Crash] = []
-        self._latest: dict[str, Crash] = {}
+        self._by_engine: collections.defaultdict[str, list[Crash]] = collections.defaultdict(list)
         self._by_suspect: collections.defaultdict[str, list[Crash]] = collections.defaultdict(list)
 
     def add(self, report: CrashReport) -> Crash | None:
         """Add what one gateway reports of a crash; returns the crash if that is new."""
-        crash = self._latest.get(report.engine)
-        if crash is None or abs(report.at - crash.at) > SAME_CRASH_S:
-            crash = self._latest[report.engine] = Crash(report.engine, report.at)
+        known = self._by_engine[report.engine]
+        same = [item for item in known if _is_same(item, report)]
+        crash = min(same, key=lambda item: abs(item.at - report.at), default=None)
+        if crash is None:
+            crash = Crash(report.engine, report.at)
+            known.append(crash)
             bisect.insort(self._crashes, crash, key=lambda item: item.at)
         return crash if crash.add(report) else None
 
@@ -143,8 +152,10 @@
         del self._crashes[:count]
 
     def _forget(self, crash: Crash) -> None:
-        if self._latest.get(crash.engine) is crash:
-            del self._latest[crash.engine]
+        known = self._by_engine[crash.engine]
+        known.remove(crash)
+        if not known:
+            del self._by_engine[crash.engine]
         for suspect in crash.exposures:
             found = self._by_suspect[suspect]
             found.remove(crash)
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -263,6 +263,7 @@
   Scenario: The point of an answer at which an engine crashes says nothing about its requests
     Then a part is blamed however far the answers had got when their engines crashed
     And one whose engine crashes right after a complete answer is blamed all the same
+    And each crash counts of an engine that is back under its id at once
 
   # Guards against a sound request that is refused for good as engines crashed under it (Starved).
   @failure.poison
--- a/features/steps/gateway_crash_steps.py
+++ b/features/steps/gateway_crash_steps.py
@@ -143,6 +143,20 @@
     assert decide(blame, 20.0) == [BAD]
 
 
+@then("each crash counts of an engine that is back under its id at once")
+def step_back_at_once(context):
+    """Check one engine and two gateways, whose reports of the earlier crash come late."""
+    blame, other = crashblame.CrashBlame(), crashblame.CrashBlame()
+    for number in range(1, 4):
+        broken = [make_broken(number, FIRST, BAD, at=number, run_s=0.1)]
+        blame.record_crash(make_engine(1), FLEET, broken, float(number))
+        at = number + 0.02
+        late = [make_broken(10 + number, FIRST, f"x{number}", at=at, run_s=0.9)]
+        other.record_crash(make_engine(1), FLEET, late, at)
+    blame.record_reports(other.take_reports(), 3.1)
+    assert [item.crashes for item in blame.decide(GATEWAYS, 4.0, 4000)] == [3]
+
+
 def crash_once_sound(blame, count, innocent):
     """Let engines crash on a part that was sound until now; the last crash is not decided on yet.
 
--- a/features/support/platform/peergateway.py
+++ b/features/support/platform/peergateway.py
@@ -35,7 +35,7 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((self.host, fleet.peer_port))
         self._sock.settimeout(TIMEOUT_S)
-        record = routing.Peer(name, self.host, "etna-a", 20.0, 1, {}, {}, 0)
+        record = routing.Peer(name, self.host, "etna-a", 20.0, 1, {}, 0)
         fleet.put("gateways", name, decoding.encode_peer(record))
 
     def receive_mark(self):
--- a/features/support/relay_data.py
+++ b/features/support/relay_data.py
@@ -8,7 +8,7 @@
 
 def make_peer(name, zone=ZONE, link_mbps=20.0):
     """Return the record of a gateway."""
-    return routing.Peer(name, "10.0.0.1", zone, link_mbps, 1, {}, {}, 1)
+    return routing.Peer(name, "10.0.0.1", zone, link_mbps, 1, {}, 1)
 
 
 def make_settings(name, zone=ZONE, link_mbps=20.0):
