Read answers of backend servers by the connection that tells a reset from an end

Load reports and responses to orders that broke off were believed.

Cause: the sidecar's HTTP client library ends a body without a length in the same way whether the connection was closed or reset, and takes any three digits for a status. The gateway has a client of its own that was taught these things.

Change: the sidecar's clients use the gateway's connection (adapters/backendcall), one connection a request as before.

--- a/berylrock/adapters/backend.py
+++ b/berylrock/adapters/backend.py
@@ -1,19 +1,16 @@
-"""HTTP clients for model engines and plain services, based on aiohttp.
+"""HTTP clients for model engines and plain services.
 
-Every request opens a new connection to the backend server next to the sidecar, and is sent once.
-Therefore an error while connecting proves that nothing was passed on.
+Every request has a connection of its own to the backend server next to the sidecar.
 """
 
 import asyncio
-import socket
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
-import aiohttp
 import msgspec
-import yarl
 
-from berylrock.adapters import bodies, interfaces
+from berylrock.adapters import backendcall, bodies, interfaces
 from berylrock.core import message
 from berylrock.ops import buffering, lines
 
@@ -28,10 +25,9 @@
 MAX_TEXT_BYTES = 4096
 MAX_EVENT_LINE_BYTES = 262_144
 ERROR_DETAIL_CHARACTERS = 200
-RECEIVE_BUFFER_BYTES = 32_768
 END_MARKER = b"[DONE]"
 DATA_PREFIX = b"data: "
-OVERLOADED = 503
+OK = 200
 HOP_BY_HOP_HEADERS = frozenset(
     ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
 )
@@ -66,55 +62,10 @@
         raise interfaces.BackendLost(f"engine sent an event that cannot be read: {exc}") from exc
 
 
-def _make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    """Create a socket with a small receive buffer.
-
-    A small buffer keeps a server from sending much more than a slow reader has consumed.
-    """
-    family, kind, proto, _, _ = info
-    sock = socket.socket(family, kind, proto)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    return sock
-
-
-async def _send_once(
-    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Send a request; raises ``aiohttp.ClientError`` itself for a broken connection.
-
-    Scenario: a server runs a PUT call and closes its connection. By itself, aiohttp sends requests
-    of such methods once more after an error of the kinds below, which are derived from that class.
-    """
-    try:
-        return await handler(req)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
-        raise aiohttp.ClientError(f"{type(exc).__name__}: {exc}") from exc
-
-
-def _open_session() -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(force_close=True, limit=0, socket_factory=_make_socket)
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
-    return aiohttp.ClientSession(
-        connector=connector,
-        timeout=timeout,
-        auto_decompress=False,
-        read_bufsize=16384,
-        middlewares=(_send_once,),
-    )
-
-
 def _unreachable_error(exc: Exception) -> interfaces.BackendUnreachable:
     return interfaces.BackendUnreachable(f"backend server is unreachable: {exc}")
 
 
-def _lost_error(exc: BaseException) -> interfaces.BackendLost:
-    return interfaces.BackendLost(
-        f"connection to backend server broke: {type(exc).__name__}: {exc}"
-    )
-
-
 class HttpEngine:
     """Client for a model engine with an OpenAI-compatible interface.
 
@@ -124,9 +75,8 @@
     """
 
     def __init__(self, base_url: str, buffers: buffering.BufferBudget) -> None:
-        self._base = base_url.rstrip("/")
+        self._base = backendcall.parse_base_url(base_url)
         self._buffers = buffers
-        self._session = _open_session()
 
     async def run(
         self, start: message.Start
@@ -150,42 +100,41 @@
         body |= {"model": start.target, "stream": True, "priority": start.priority}
         if start.resume_tokens:
             body["resume"] = {"tokens": start.resume_tokens, "text": start.resume_text}
-        headers = {"X-Request-Id": start.request_id, "Content-Type": "application/json"}
-        url = f"{self._base}/v1/chat/completions"
-        try:
-            resp = await self._session.post(url, data=msgspec.json.encode(body), headers=headers)
-        except aiohttp.ClientConnectorError as exc:
-            raise _unreachable_error(exc) from exc
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise _lost_error(exc) from exc
+        headers = [
+            (b"x-request-id", start.request_id.encode()),
+            (b"content-type", b"application/json"),
+        ]
+        call = await backendcall.BackendCall.open(
+            self._base, "POST", "/v1/chat/completions", headers, msgspec.json.encode(body)
+        )
         try:
-            if resp.status != 200:
-                raise interfaces.BackendError(resp.status, await self._read_error(resp))
+            if call.status != OK:
+                raise interfaces.BackendError(call.status, await self._read_error(call))
             splitter = lines.LineSplitter(buffering.Hold(self._buffers), MAX_EVENT_LINE_BYTES)
             try:
-                async for item in self._read_events(resp, splitter):
+                async for item in self._read_events(call, splitter):
                     yield item
             finally:
                 splitter.close()
         finally:
-            resp.close()
+            call.close()
 
-    async def _read_error(self, resp: aiohttp.ClientResponse) -> str:
+    async def _read_error(self, call: backendcall.BackendCall) -> str:
         """Read the begin of an error's text; what is wrong with it, if it cannot be read."""
         body = buffering.Body(self._buffers, MAX_TEXT_BYTES)
         try:
             async with asyncio.timeout(TEXT_TIMEOUT_SECONDS):
-                data = await bodies.read_start(body, resp.content.readany, MAX_TEXT_BYTES)
+                data = await bodies.read_start(body, call.read, MAX_TEXT_BYTES)
             return data.decode("utf-8", "replace")[:ERROR_DETAIL_CHARACTERS]
-        except (aiohttp.ClientError, OSError, TimeoutError, buffering.BodyGivenUp) as exc:
+        except (interfaces.BackendLost, TimeoutError, buffering.BodyGivenUp) as exc:
             return f"its text cannot be read: {type(exc).__name__}: {exc}"
 
     async def _read_events(
-        self, resp: aiohttp.ClientResponse, splitter: lines.LineSplitter
+        self, call: backendcall.BackendCall, splitter: lines.LineSplitter
     ) -> AsyncIterator[interfaces.StreamChunk | interfaces.KeepAlive | interfaces.StreamEnd]:
         usage = _Usage()
         while True:
-            for line in await self._read_lines(resp, splitter):
+            for line in await self._read_lines(call, splitter):
                 if not line.startswith(DATA_PREFIX):
                     if line:
                         yield interfaces.KeepAlive()
@@ -202,14 +151,12 @@
                     yield interfaces.StreamChunk(bytes(event.choices))
 
     async def _read_lines(
-        self, resp: aiohttp.ClientResponse, splitter: lines.LineSplitter
+        self, call: backendcall.BackendCall, splitter: lines.LineSplitter
     ) -> list[bytes]:
         """Wait for data; returns the lines that it completes, and raises ``BackendLost``."""
         try:
-            data = await resp.content.readany()
+            data = await call.read()
             found = splitter.feed(data)
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise _lost_error(exc) from exc
         except (lines.LineTooLong, buffering.BodyGivenUp) as exc:
             raise interfaces.BackendLost(f"engine sent an event that was given up: {exc}") from exc
         if not data:
@@ -218,14 +165,15 @@
 
     async def load_report(self) -> interfaces.LoadReport:
         """Fetch the engine's load report; raises ``BackendUnreachable``."""
-        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_SECONDS)
         body = buffering.Body(self._buffers, MAX_REPORT_BYTES)
         try:
-            async with self._session.get(f"{self._base}/load", timeout=timeout) as resp:
-                data = await bodies.read(body, resp.content.readany)
+            async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
+                call = await backendcall.BackendCall.open(self._base, "GET", "/load", [], b"")
+                with contextlib.closing(call):
+                    data = await bodies.read(body, call.read)
             found = msgspec.json.decode(data, type=_Report)
         except (
-            *(aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError),
+            *(interfaces.BackendLost, TimeoutError, msgspec.MsgspecError),
             *(buffering.BodyTooLarge, buffering.BodyGivenUp),
         ) as exc:
             raise _unreachable_error(exc) from exc
@@ -242,38 +190,31 @@
         Returns:
           Whether the engine accepted the order, and the text of its response or the error.
         """
-        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_SECONDS)
         body = buffering.Body(self._buffers, MAX_TEXT_BYTES)
+        content = msgspec.json.encode(order._asdict())
         try:
-            async with (
-                self._session.post(
-                    f"{self._base}/orders",
-                    data=msgspec.json.encode(order._asdict()),
-                    timeout=timeout,
-                ) as resp,
-                asyncio.timeout(TEXT_TIMEOUT_SECONDS),
-            ):
-                text = await bodies.read(body, resp.content.readany)
-            return resp.status == 200, text.decode("utf-8", "replace")
+            async with asyncio.timeout(ORDER_TIMEOUT_SECONDS):
+                call = await backendcall.BackendCall.open(
+                    self._base, "POST", "/orders", [], content
+                )
+            with contextlib.closing(call):
+                async with asyncio.timeout(TEXT_TIMEOUT_SECONDS):
+                    text = await bodies.read(body, call.read)
+            return call.status == OK, text.decode("utf-8", "replace")
         except (
-            *(aiohttp.ClientError, OSError, TimeoutError),
+            *(interfaces.BackendUnreachable, interfaces.BackendLost, TimeoutError),
             *(buffering.BodyTooLarge, buffering.BodyGivenUp),
         ) as exc:
             return False, f"engine did not respond to the order: {exc}"
         finally:
             body.release()
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
-
 
 class HttpPlainServer:
     """Client for a backend server of a plain service."""
 
     def __init__(self, base_url: str) -> None:
-        self._base = base_url.rstrip("/")
-        self._session = _open_session()
+        self._base = backendcall.parse_base_url(base_url)
 
     async def call(self, start: message.Start, body: buffering.Body) -> interfaces.ServiceResponse:
         """Pass a call on exactly once, with the caller's method, path, headers and body.
@@ -289,54 +230,37 @@
           BackendUnreachable: The call was not passed on.
           BackendLost: The connection broke or the answer is too large; the call may have run.
         """
-        headers = [tuple(line.split(": ", 1)) for line in start.headers]
-        try:
-            resp = await self._session.request(
-                start.method,
-                self._base + start.path,
-                data=start.body or None,
-                headers=headers,  # type: ignore[arg-type]
-                allow_redirects=False,
-            )
-        except aiohttp.ClientConnectorError as exc:
-            raise _unreachable_error(exc) from exc
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise _lost_error(exc) from exc
-        try:
-            return await self._read_answer(resp, body)
-        finally:
-            resp.close()
+        pairs = (line.split(": ", 1) for line in start.headers)
+        headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs]
+        call = await backendcall.BackendCall.open(
+            self._base, start.method, start.path, headers, start.body
+        )
+        with contextlib.closing(call):
+            return await self._read_answer(call, body)
 
     async def _read_answer(
-        self, resp: aiohttp.ClientResponse, body: buffering.Body
+        self, call: backendcall.BackendCall, body: buffering.Body
     ) -> interfaces.ServiceResponse:
         try:
-            data = await bodies.read(body, resp.content.readany)
+            data = await bodies.read(body, call.read)
         except (buffering.BodyTooLarge, buffering.BodyGivenUp) as exc:
             raise interfaces.BackendLost(f"answer was given up: {exc}") from exc
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise _lost_error(exc) from exc
         headers = tuple(
             f"{name}: {value}"
-            for name, value in resp.headers.items()
+            for name, value in call.headers
             if name.lower() not in HOP_BY_HOP_HEADERS
         )
-        return interfaces.ServiceResponse(resp.status, headers, data)
+        return interfaces.ServiceResponse(call.status, headers, data)
 
     async def load_report(self) -> interfaces.LoadReport:
         """Check that the server accepts connections; raises ``BackendUnreachable`` if not.
 
         Plain services report no load, so the returned report is empty.
         """
-        url = yarl.URL(self._base)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(url.host, url.port)
+                _, writer = await asyncio.open_connection(self._base.host, self._base.port)
         except (OSError, TimeoutError) as exc:
             raise _unreachable_error(exc) from exc
         writer.close()
         return interfaces.LoadReport("")
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
--- a/berylrock/adapters/http1.py
+++ b/berylrock/adapters/http1.py
@@ -1,17 +1,17 @@
 """HTTP/1.1 server and client connections over asyncio, parsed strictly by h11.
 
 ``CallerConnection`` is the server side and ``EngineConnection`` the client side. Both distinguish a
-connection that the peer closed from one that broke. Both limit the received data that they buffer:
-they stop reading from the socket until the buffered data has been processed.
+connection that the peer closed from one that broke.
 """
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Self
 
 import h11
 
-from berylrock.adapters import sockets
+from berylrock.adapters import readers, sockets
 from berylrock.core import errors
 
 __all__ = [
@@ -19,15 +19,12 @@
     "CallerGone",
     "ConnectFailed",
     "EngineConnection",
-    "Reader",
     "ResponseBroken",
     "ResponseEvent",
     "read_data",
 ]
 
-READ_BYTES = 16_384
 WRITE_BUFFER_BYTES = 65_536
-MAX_BUFFERED_BYTES = 65_536
 # Informational (1xx) responses that are skipped before a final one.
 MAX_INFORMATIONAL = 8
 # The largest status that HTTP has; the parser checks the smallest one.
@@ -53,65 +50,6 @@
     """The peer closed or reset the connection, or sent an invalid HTTP response."""
 
 
-class Reader:
-    """Reader of a socket in the background, which detects at once when the peer disconnects.
-
-    Attributes:
-      ended: Set once the peer has closed the connection or the connection broke.
-      broken: Whether the connection ended by a reset or an error instead of a normal close.
-    """
-
-    def __init__(self, stream: asyncio.StreamReader) -> None:
-        self._stream = stream
-        self._received = bytearray()
-        self._state_changed = asyncio.Event()
-        self.ended = asyncio.Event()
-        self.broken = False
-        self._task = asyncio.create_task(self._read_loop())
-
-    async def _read_loop(self) -> None:
-        try:
-            while True:
-                data = await self._stream.read(READ_BYTES)
-                if not data:
-                    break
-                self._received += data
-                self._state_changed.set()
-                while len(self._received) > MAX_BUFFERED_BYTES:
-                    await asyncio.sleep(0.01)
-        except (OSError, asyncio.IncompleteReadError):
-            self.broken = True
-        self.ended.set()
-        self._state_changed.set()
-
-    @property
-    def has_ended(self) -> bool:
-        """Whether the peer has closed the connection, as far as that has arrived."""
-        return self.ended.is_set() or self._stream.at_eof()
-
-    @property
-    def has_data(self) -> bool:
-        """Whether received bytes are waiting to be read."""
-        return bool(self._received)
-
-    async def wait(self) -> None:
-        """Wait until data has arrived or the connection has ended."""
-        while not self._received and not self.ended.is_set():
-            self._state_changed.clear()
-            await self._state_changed.wait()
-
-    async def read(self) -> bytes:
-        """Wait for data and return all that has arrived; empty once the connection has ended."""
-        await self.wait()
-        data = bytes(self._received)
-        self._received.clear()
-        return data
-
-    def close(self) -> None:
-        """Stop reading from the socket."""
-        self._task.cancel()
-
-
 class CallerConnection:
     """Server side of a connection from a caller.
 
@@ -124,7 +62,7 @@
     ) -> None:
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
         self._writer = writer
-        self.reader = Reader(stream)
+        self.reader = readers.Reader(stream)
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         sock = writer.get_extra_info("socket")
         if sock is not None:
@@ -249,11 +187,19 @@
       request_written: Whether any part of the current request may have reached the peer.
     """
 
-    def __init__(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        sockets.set_options(writer.get_extra_info("socket"), ENGINE_TIMEOUT_MS)
+    def __init__(
+        self,
+        stream: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        options: readers.ConnectionOptions = readers.DEFAULT_OPTIONS,
+    ) -> None:
+        sock = writer.get_extra_info("socket")
+        sockets.set_options(sock, ENGINE_TIMEOUT_MS)
+        if options.receive_buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, options.receive_buffer_bytes)
         self._conn = h11.Connection(h11.CLIENT)
         self._writer = writer
-        self.reader = Reader(stream)
+        self.reader = readers.open_reader(stream, options)
         self.idle_since = asyncio.get_running_loop().time()
         self.keep_alive_s: float | None = None
         self.responses_read = 0
@@ -261,12 +207,18 @@
         self._method = ""
 
     @classmethod
-    async def open(cls, address: tuple[str, int], timeout_s: float) -> Self:
+    async def open(
+        cls,
+        address: tuple[str, int],
+        timeout_s: float,
+        options: readers.ConnectionOptions = readers.DEFAULT_OPTIONS,
+    ) -> Self:
         """Open a connection.
 
         Args:
           address: IP address and port.
           timeout_s: Longest time to wait for the connection, in seconds.
+          options: How it reads from the socket.
 
         Returns:
           The connection.
@@ -276,8 +228,8 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                stream, writer = await asyncio.open_connection(*address)
-            return cls(stream, writer)
+                stream, writer = await asyncio.open_connection(*address, limit=options.limit_bytes)
+            return cls(stream, writer, options)
         except (OSError, TimeoutError, OverflowError, ValueError) as exc:
             # The last two are for addresses that no socket can have.
             raise ConnectFailed(f"cannot connect to {address[0]}:{address[1]}: {exc!r}") from exc
--- a/berylrock/daemons/gateway/pool.py
+++ b/berylrock/daemons/gateway/pool.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from berylrock.adapters import http1
+from berylrock.adapters import http1, readers
 from berylrock.core import routing
 from berylrock.ops import answers
 
@@ -30,8 +30,13 @@
       history: Those requests, and what answers on the connection prove.
     """
 
-    def __init__(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        super().__init__(stream, writer)
+    def __init__(
+        self,
+        stream: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        options: readers.ConnectionOptions = readers.DEFAULT_OPTIONS,
+    ) -> None:
+        super().__init__(stream, writer, options)
         self.history = answers.ConnectionHistory()
 
 
--- a/features/steps/process_bound_steps.py
+++ b/features/steps/process_bound_steps.py
@@ -60,11 +60,7 @@
         attempt=f"a{number}", target="m@v1", body=b"{}", timeout_ms=9000, method="GET", path="/a"
     )
     run = runs.Run(start, "entry", None, 0.0)
-    try:
-        await runner.run(run)
-    finally:
-        await engine.close()
-        await plain.close()
+    await runner.run(run)
     return run.end
 
 
@@ -76,18 +72,13 @@
         return "a report"
     except interfaces.BackendUnreachable:
         return "unreachable"
-    finally:
-        await server.close()
 
 
 async def give_order(port):
     """Give an engine an order; returns how that ended."""
     server = backend.HttpEngine(f"http://127.0.0.1:{port}", make_buffers())
-    try:
-        accepted, _ = await server.order(message.Order(target="m@v1"))
-        return "taken" if accepted else "not taken"
-    finally:
-        await server.close()
+    accepted, _ = await server.order(message.Order(target="m@v1"))
+    return "taken" if accepted else "not taken"
 
 
 def play(context, use, timeout_s=TIMEOUT_S):
@@ -189,12 +180,9 @@
                 attempt=f"a{number}", method="GET", path="/a", timeout_ms=9000, repeatable=False
             )
             made.append(runs.Run(start, "entry", None, 0.0))
-        try:
-            await asyncio.gather(*(runner.run(run) for run in made[:-1]))
-            context.raw.script = rawengine.Script(OK + b"Content-Length: 5\r\n\r\nsmall")
-            await runner.run(made[-1])
-        finally:
-            await server.close()
+        await asyncio.gather(*(runner.run(run) for run in made[:-1]))
+        context.raw.script = rawengine.Script(OK + b"Content-Length: 5\r\n\r\nsmall")
+        await runner.run(made[-1])
         return made
 
     play(context, run_all, MANY_TIMEOUT_S)
--- a/features/steps/process_claim_steps.py
+++ b/features/steps/process_claim_steps.py
@@ -49,7 +49,6 @@
             async with asyncio.timeout(TIMEOUT_S):
                 await runner.run(run)
         finally:
-            await client.close()
             await context.server.stop()
         return run.end
 
--- a/features/steps/process_error_steps.py
+++ b/features/steps/process_error_steps.py
@@ -29,9 +29,6 @@
         raise ZeroDivisionError(f"raised for {start.attempt}")
         yield
 
-    async def close(self):
-        """Close nothing."""
-
 
 @given("a sidecar whose server is one that raises an error of no known kind")
 def step_raising(context):
@@ -57,11 +54,8 @@
         context.runner = make_runner(context.make_server(raw.port))
         start = message.Start(attempt="a1", target="m@v1", body=b"{}", timeout_ms=9000)
         run = runs.Run(start, "entry", None, 0.0)
-        try:
-            async with asyncio.timeout(TIMEOUT_S):
-                await context.runner.run(run)
-        finally:
-            await context.runner.backend.server.close()
+        async with asyncio.timeout(TIMEOUT_S):
+            await context.runner.run(run)
         return run.end
 
     context.end = asyncio.run(play())
@@ -158,7 +152,6 @@
                 context.crashed = await polled.has_crashed("one")
                 context.accepted, _ = await client.order(message.Order("o1", 1, "load", "m@v1"))
         finally:
-            await client.close()
             await context.server.stop()
 
     asyncio.run(play())
--- a/features/support/answermutants.py
+++ b/features/support/answermutants.py
@@ -298,4 +298,18 @@
         CUTS,
         (Edit("ops/answers.py", "        if named != current.digest:\n", "        if False:\n"),),
     ),
+    Mutant(
+        "reset-is-end",
+        "adapters/http1.py",
+        '                        raise ResponseBroken("connection was reset")\n',
+        "                        pass\n",
+        "ends a call of",
+    ),
+    Mutant(
+        "status-above",
+        "adapters/http1.py",
+        "if isinstance(event, h11.Response) and event.status_code > LAST_STATUS:",
+        "if False:",
+        "An early answer to a long upload",
+    ),
 )
