--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,7 +15,7 @@
 # Parts of the disruption, to see which of them it takes.
 EARLY = TROUBLE and os.environ.get("EARLY", "1") != "0"
 GIVE_UP = TROUBLE and os.environ.get("GIVE_UP", "1") != "0"
-HOST = "127.83.11.1"
+HOST = "127.83.120.1"
 LONG_BYTES, LONG_BODY = 65_536, b"x" * 1_000_000
 # When an engine that has rejected a long request reads on.
 READ_ON_AFTER_S = 1.5
@@ -58,10 +58,10 @@
 
 
 async def play(record, folder):
-    store = standins.Store("127.83.11.9")
+    store = standins.Store("127.83.120.9")
     await store.start()
     engines = [
-        RejectingEngine(f"i-{n}", "127.83.11.8", "orders", record) for n in range(3)
+        RejectingEngine(f"i-{n}", "127.83.120.8", "orders", record) for n in range(3)
     ]
     for engine in engines:
         await engine.start()
